--- /dev/null
+++ b/crates/dogwoodshunt_agent/src/control/links.rs
@@ -0,0 +1,174 @@
+//! Connections of entries.
+
+use crate::control::Control;
+use crate::control::Event;
+use crate::control::LinkKey;
+use async_channel::Sender;
+use dogwoodshunt_replica::PeerKey;
+use dogwoodshunt_runtime::link::Link;
+use dogwoodshunt_types::BootId;
+use dogwoodshunt_wire::Frame;
+use dogwoodshunt_wire::frame::Beat;
+use slog::info;
+use std::time::Instant;
+
+/// One entry's connection.
+pub(super) struct LinkState {
+    pub(super) entry_boot: BootId,
+    pub(super) peer: PeerKey,
+    pub(super) tx: Sender<Frame>,
+}
+
+impl Control {
+    pub(super) fn on_link_up(&mut self, now: Instant, link: Link) {
+        let Link { peer, tx, rx } = link;
+        info!(self.around.log, "entry connected"; "entry" => %peer.node);
+        self.close_older(now, peer.boot);
+        let entry_boot = peer.boot;
+        let peer = self.replica.add_peer(peer);
+        let key = self.links.insert(LinkState {
+            entry_boot,
+            peer,
+            tx,
+        });
+        let events = self.around.events.clone();
+        let receive = async move {
+            while let Ok(frame) = rx.recv().await {
+                if events
+                    .send(Event::Frame { link: key, frame })
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+            }
+            let _ = events.send(Event::LinkDown { link: key }).await;
+        };
+        self.around.traffic.spawn(receive).detach();
+        self.beat(now, key);
+    }
+
+    /// Closes older connections of the same boot of an entry.
+    ///
+    /// Frames that still arrive on them are ignored, so that a request which
+    /// the agent declares unknown on the new connection stays unknown.
+    fn close_older(&mut self, now: Instant, entry_boot: BootId) {
+        let older: Vec<LinkKey> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.entry_boot == entry_boot)
+            .map(|(key, _)| key)
+            .collect();
+        for key in older {
+            self.on_link_down(now, key);
+        }
+    }
+
+    pub(super) fn on_link_down(&mut self, now: Instant, key: LinkKey) {
+        let Some(link) = self.links.remove(key) else {
+            return;
+        };
+        link.tx.close();
+        self.replica.remove_peer(link.peer);
+        self.detach_requests(now, key);
+    }
+
+    pub(super) fn on_frame(&mut self, now: Instant, key: LinkKey, frame: Frame) {
+        let Some(peer) = self.links.get(key).map(|link| link.peer) else {
+            return;
+        };
+        match frame {
+            Frame::Ack { request, next } => self.on_ack(now, request, next),
+            Frame::Beat(beat) => {
+                let answer = self.replica.on_beat(now, peer, &beat);
+                self.send_all(key, answer);
+                if beat.echo == 0 {
+                    // The entry has just connected; an echo at once makes it fresh.
+                    self.beat(now, key);
+                }
+            }
+            Frame::Cancel { request } => self.on_cancel(now, request),
+            Frame::Entries { entries } => {
+                if self.replica.on_entries(Some(peer), &entries) {
+                    self.on_catalogue_moved(now);
+                }
+            }
+            Frame::Grant { adapter, valid_for } => {
+                let until = now + valid_for;
+                self.residency.budget_mut().on_grant(now, adapter, until);
+            }
+            Frame::Pull { after } => {
+                let answer = self.replica.on_pull(after);
+                self.send_all(key, answer);
+            }
+            Frame::Resume {
+                request,
+                next,
+                has_head,
+            } => self.on_resume(now, key, request, next, has_head),
+            Frame::Snapshot { shard } => {
+                if self.replica.on_shard(peer, *shard) {
+                    self.on_catalogue_moved(now);
+                }
+            }
+            Frame::Submit(submit) => self.on_submit(now, key, *submit),
+            Frame::Challenge(_)
+            | Frame::Chunk { .. }
+            | Frame::End { .. }
+            | Frame::Failed { .. }
+            | Frame::Head { .. }
+            | Frame::Hello(_)
+            | Frame::NotRun { .. }
+            | Frame::Welcome { .. } => self.on_link_down(now, key),
+        }
+    }
+
+    pub(super) fn beat_all(&mut self, now: Instant) {
+        let keys: Vec<LinkKey> = self.links.keys().collect();
+        for key in keys {
+            self.beat(now, key);
+        }
+    }
+
+    fn beat(&mut self, now: Instant, key: LinkKey) {
+        let Some(peer) = self.links.get(key).map(|link| link.peer) else {
+            return;
+        };
+        let Some(beat) = self.replica.beat(now, peer) else {
+            return;
+        };
+        let beat = Beat {
+            leaving: self.residency.is_leaving(),
+            empty: self.residency.is_empty(),
+            epoch: self.epoch,
+            report: Some(self.residency.report(now)),
+            peers: self.replica.peer_states(),
+            ..beat
+        };
+        self.send_all(key, [Frame::Beat(Box::new(beat))]);
+    }
+
+    pub(super) fn send_all(&self, key: LinkKey, frames: impl IntoIterator<Item = Frame>) {
+        let Some(link) = self.links.get(key) else {
+            return;
+        };
+        for frame in frames {
+            // A closed link is reported by its receiver.
+            let _ = link.tx.try_send(frame);
+        }
+    }
+
+    /// Passes a change of the catalogue on and acts on it.
+    pub(super) fn on_catalogue_moved(&mut self, now: Instant) {
+        let revision = self.replica.catalogue().revision();
+        info!(self.around.log, "catalogue"; "revision" => revision);
+        for (peer, frame) in self.replica.spread() {
+            let link = self.links.iter().find(|(_, link)| link.peer == peer);
+            if let Some((key, _)) = link {
+                self.send_all(key, [frame]);
+            }
+        }
+        self.apply_stops(now);
+        self.beat_all(now);
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_agent/src/settings.rs
@@ -0,0 +1,201 @@
+//! Settings of an agent.
+
+use dogwoodshunt_residency::Settings;
+use dogwoodshunt_residency::upstream::Kind;
+use dogwoodshunt_residency::upstream::Room;
+use dogwoodshunt_runtime::settings::Checked;
+use dogwoodshunt_runtime::settings::Misfit;
+use dogwoodshunt_runtime::settings::NodeSettings;
+use dogwoodshunt_runtime::settings::TelemetrySettings;
+use dogwoodshunt_runtime::settings::check_key;
+use dogwoodshunt_runtime::settings::check_range;
+use serde::Deserialize;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Settings of an agent.
+#[derive(Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Who this agent is; its name is the name of its host.
+    pub node: NodeSettings,
+    /// Address on which entries connect.
+    pub listen: SocketAddr,
+    /// Key shared by all entries and agents, at least 16 bytes.
+    pub shared_key: Box<str>,
+    /// Address of the key-value service.
+    pub key_value_service: SocketAddr,
+    /// The host's engines and services.
+    pub upstreams: Vec<UpstreamSettings>,
+    /// Age of the last word at which the catalogue is no longer trusted.
+    #[serde(default = "default_freshness_limit_ms")]
+    pub freshness_limit_ms: u64,
+    /// Time between heartbeats.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// Most requests that may wait.
+    #[serde(default = "default_queue_limit")]
+    pub queue_limit: u64,
+    /// Time that a waiting adapter may be passed over for resident ones.
+    #[serde(default = "default_pass_over_ms")]
+    pub pass_over_ms: u64,
+    /// Loads per second that this agent may start without a granter.
+    #[serde(default = "default_load_share")]
+    pub load_share: f64,
+    /// Time that an engine's answer to an order may take.
+    #[serde(default = "default_order_timeout_ms")]
+    pub order_timeout_ms: u64,
+    /// Threads that carry traffic.
+    #[serde(default = "default_traffic_threads")]
+    pub traffic_threads: u64,
+    /// Where logs and metrics go.
+    #[serde(default)]
+    pub telemetry: TelemetrySettings,
+}
+
+/// One engine or service of the host.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamSettings {
+    /// Name, unique among all hosts.
+    pub name: Box<str>,
+    /// Address of its HTTP interface.
+    pub address: SocketAddr,
+    /// What it serves.
+    pub serves: ServesSettings,
+}
+
+/// What an upstream serves.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "snake_case")]
+pub enum ServesSettings {
+    /// A model engine.
+    Engine {
+        /// Base model that it holds.
+        base_model: Box<str>,
+        /// Adapters that fit at once.
+        slots: u64,
+        /// Requests that run at once.
+        batch: u64,
+    },
+    /// A plain service.
+    Service {
+        /// Name under which callers reach it.
+        name: Box<str>,
+        /// Calls that run at once.
+        concurrency: u64,
+    },
+}
+
+impl UpstreamSettings {
+    /// Returns what the upstream serves.
+    pub fn kind(&self) -> Kind {
+        match &self.serves {
+            ServesSettings::Engine { base_model, .. } => Kind::Engine {
+                base_model: base_model.clone(),
+            },
+            ServesSettings::Service { name, .. } => Kind::Service(name.clone()),
+        }
+    }
+
+    /// Returns the upstream's room.
+    pub fn room(&self) -> Room {
+        let size = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
+        match &self.serves {
+            ServesSettings::Engine { slots, batch, .. } => Room {
+                slots: size(*slots),
+                batch: size(*batch),
+            },
+            ServesSettings::Service { concurrency, .. } => Room {
+                slots: 0,
+                batch: size(*concurrency),
+            },
+        }
+    }
+
+    fn check(&self) -> Result<(), Misfit> {
+        match &self.serves {
+            ServesSettings::Engine { slots, batch, .. } => {
+                check_range("upstreams.slots", *slots, 1, 10_000)?;
+                check_range("upstreams.batch", *batch, 1, 100_000)
+            }
+            ServesSettings::Service { concurrency, .. } => {
+                check_range("upstreams.concurrency", *concurrency, 1, 100_000)
+            }
+        }
+    }
+}
+
+impl AgentSettings {
+    /// Returns the limits of the agent's decisions.
+    pub fn residency(&self) -> Settings {
+        Settings::builder()
+            .queue_limit(usize::try_from(self.queue_limit).unwrap_or(usize::MAX))
+            .pass_over_limit(Duration::from_millis(self.pass_over_ms))
+            .load_share(self.load_share)
+            .build()
+    }
+
+    fn check_upstreams(&self) -> Result<(), Misfit> {
+        let mut names = BTreeSet::new();
+        for upstream in &self.upstreams {
+            if !names.insert(&upstream.name) {
+                let message = format!("{} is named twice; names are unique", upstream.name);
+                return Err(Misfit::new("upstreams.name", message));
+            }
+            upstream.check()?;
+        }
+        if names.is_empty() {
+            let message = "is empty; list the host's engines and services";
+            return Err(Misfit::new("upstreams", message));
+        }
+        Ok(())
+    }
+}
+
+impl Checked for AgentSettings {
+    fn check(&self) -> Result<(), Misfit> {
+        self.node.check()?;
+        check_key(&self.shared_key)?;
+        check_range("freshness_limit_ms", self.freshness_limit_ms, 500, 3_000)?;
+        check_range("heartbeat_ms", self.heartbeat_ms, 20, 1_000)?;
+        check_range("queue_limit", self.queue_limit, 1, 1_000_000)?;
+        check_range("pass_over_ms", self.pass_over_ms, 1, 60_000)?;
+        check_range("order_timeout_ms", self.order_timeout_ms, 100, 600_000)?;
+        check_range("traffic_threads", self.traffic_threads, 1, 256)?;
+        if !(0.001..=1_000.0).contains(&self.load_share) {
+            let message = format!("{} is out of range; use 0.001 to 1000", self.load_share);
+            return Err(Misfit::new("load_share", message));
+        }
+        self.check_upstreams()
+    }
+}
+
+fn default_freshness_limit_ms() -> u64 {
+    3_000
+}
+
+fn default_heartbeat_ms() -> u64 {
+    250
+}
+
+fn default_queue_limit() -> u64 {
+    1_024
+}
+
+fn default_pass_over_ms() -> u64 {
+    500
+}
+
+fn default_load_share() -> f64 {
+    0.25
+}
+
+fn default_order_timeout_ms() -> u64 {
+    30_000
+}
+
+fn default_traffic_threads() -> u64 {
+    2
+}
--- /dev/null
+++ b/crates/dogwoodshunt_border/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP/1.1 by `hyper` over `smol`.
+
+pub mod body;
+pub mod client;
+pub mod server;
+
+pub use crate::http::body::AnswerBody;
+pub use crate::http::client::Client;
+pub use crate::http::client::HttpError;
--- /dev/null
+++ b/crates/dogwoodshunt_border/src/kv/etcd.rs
@@ -0,0 +1,210 @@
+//! The JSON gateway of etcd v3.
+
+use crate::generated::etcd;
+use crate::http::Client;
+use crate::http::HttpError;
+use crate::http::body;
+use crate::kv::Kv;
+use crate::kv::KvError;
+use crate::kv::LeaseId;
+use crate::kv::Op;
+use crate::kv::Record;
+use crate::kv::Unchanged;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::Timer;
+use smol::future::FutureExt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Largest answer read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Client of the JSON gateway.
+pub struct Etcd {
+    client: Arc<Client>,
+    peer: Box<str>,
+    timeout: Duration,
+}
+
+impl Etcd {
+    /// Creates a client of the gateway at `peer` (`ADDRESS:PORT`).
+    pub fn new(client: Arc<Client>, peer: &str, timeout: Duration) -> Self {
+        Self {
+            client,
+            peer: peer.into(),
+            timeout,
+        }
+    }
+
+    async fn call<Q, A>(&self, step: &'static str, path: &str, query: &Q) -> Result<A, KvError>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let late = async {
+            Timer::after(self.timeout).await;
+            Err(KvError::Unsure {
+                step,
+                message: format!("no answer within {:?}", self.timeout).into(),
+            })
+        };
+        self.call_unbounded(step, path, query).or(late).await
+    }
+
+    async fn call_unbounded<Q, A>(
+        &self,
+        step: &'static str,
+        path: &str,
+        query: &Q,
+    ) -> Result<A, KvError>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+    {
+        let req = self.request(step, path, query)?;
+        let response = self.client.send(step, &self.peer, req).await;
+        let response = response.map_err(|error| unanswered(step, &error))?;
+        let status = response.status();
+        let bytes = body::read(response.into_body(), MAX_ANSWER_BYTES).await;
+        let bytes = bytes.map_err(|error| KvError::Unsure {
+            step,
+            message: error.to_string().into(),
+        })?;
+        if !status.is_success() {
+            return Err(refused(step, status));
+        }
+        serde_json::from_slice(&bytes).map_err(|error| KvError::Malformed {
+            step,
+            message: error.to_string().into(),
+        })
+    }
+
+    fn request<Q: Serialize>(
+        &self,
+        step: &'static str,
+        path: &str,
+        query: &Q,
+    ) -> Result<Request<Full<Bytes>>, KvError> {
+        let out = |message: String| KvError::Out {
+            step,
+            message: message.into(),
+        };
+        let bytes = serde_json::to_vec(query).map_err(|error| out(error.to_string()))?;
+        Request::post(path)
+            .header(hyper::header::HOST, self.peer.as_ref())
+            .header(hyper::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(bytes.into()))
+            .map_err(|error| out(error.to_string()))
+    }
+}
+
+impl Kv for Etcd {
+    async fn range(
+        &self,
+        step: &'static str,
+        start: &str,
+        end: &str,
+    ) -> Result<Vec<Record>, KvError> {
+        let query = etcd::RangeRequest {
+            key: STANDARD.encode(start),
+            range_end: Some(STANDARD.encode(end)),
+            limit: None,
+        };
+        let answer: etcd::RangeResponse = self.call(step, "/v3/kv/range", &query).await?;
+        answer.kvs.iter().map(|kv| record(step, kv)).collect()
+    }
+
+    async fn txn(
+        &self,
+        step: &'static str,
+        unchanged: Vec<Unchanged>,
+        ops: Vec<Op>,
+    ) -> Result<bool, KvError> {
+        let query = etcd::TxnRequest {
+            compare: unchanged.iter().map(compare).collect(),
+            success: ops.into_iter().map(request_op).collect(),
+        };
+        let answer: etcd::TxnResponse = self.call(step, "/v3/kv/txn", &query).await?;
+        Ok(answer.succeeded)
+    }
+
+    async fn lease(&self, step: &'static str, seconds: u64) -> Result<LeaseId, KvError> {
+        let query = etcd::LeaseGrantRequest {
+            ttl: seconds.to_string(),
+        };
+        let answer: etcd::LeaseGrantResponse = self.call(step, "/v3/lease/grant", &query).await?;
+        answer.id.parse().map_err(|_| KvError::Malformed {
+            step,
+            message: format!("{:?} is no lease id", answer.id).into(),
+        })
+    }
+}
+
+fn unanswered(step: &'static str, error: &HttpError) -> KvError {
+    let message = error.to_string().into();
+    match error {
+        HttpError::Lost { .. } => KvError::Unsure { step, message },
+        HttpError::Unreached { .. } => KvError::Out { step, message },
+    }
+}
+
+fn refused(step: &'static str, status: hyper::StatusCode) -> KvError {
+    let message = format!("status {status}").into();
+    if status.is_server_error() && status != hyper::StatusCode::SERVICE_UNAVAILABLE {
+        return KvError::Unsure { step, message };
+    }
+    KvError::Out { step, message }
+}
+
+fn compare(unchanged: &Unchanged) -> etcd::Compare {
+    etcd::Compare {
+        key: STANDARD.encode(unchanged.key.as_ref()),
+        target: "MOD".into(),
+        result: "EQUAL".into(),
+        mod_revision: Some(unchanged.mod_revision.to_string()),
+    }
+}
+
+fn request_op(op: Op) -> etcd::RequestOp {
+    match op {
+        Op::DeleteRange { start, end } => etcd::RequestOp {
+            request_put: None,
+            request_delete_range: Some(etcd::DeleteRangeRequest {
+                key: STANDARD.encode(start.as_ref()),
+                range_end: Some(STANDARD.encode(end.as_ref())),
+            }),
+        },
+        Op::Put { key, value, lease } => etcd::RequestOp {
+            request_put: Some(etcd::PutRequest {
+                key: STANDARD.encode(key.as_ref()),
+                value: STANDARD.encode(value),
+                lease: lease.map(|lease| lease.to_string()),
+            }),
+            request_delete_range: None,
+        },
+    }
+}
+
+fn record(step: &'static str, kv: &etcd::KeyValue) -> Result<Record, KvError> {
+    let malformed = |message: String| KvError::Malformed {
+        step,
+        message: message.into(),
+    };
+    let decode = |text: &str| {
+        let decoded = STANDARD.decode(text);
+        decoded.map_err(|error| malformed(error.to_string()))
+    };
+    let key = String::from_utf8(decode(&kv.key)?);
+    let mod_revision = kv.mod_revision.parse();
+    Ok(Record {
+        key: key.map_err(|error| malformed(error.to_string()))?.into(),
+        value: decode(&kv.value)?,
+        mod_revision: mod_revision.map_err(|_| malformed("mod_revision is no number".into()))?,
+    })
+}
--- /dev/null
+++ b/crates/dogwoodshunt_load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not built yet.
--- /dev/null
+++ b/crates/dogwoodshunt_load/src/main.rs
@@ -0,0 +1,3 @@
+//! Not built yet.
+
+fn main() {}
--- /dev/null
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -0,0 +1,157 @@
+//! What an agent tells entries about its load.
+
+use crate::job::AnyJob;
+use crate::job::Target;
+use crate::residency::Residency;
+use crate::upstream::Kind;
+use crate::upstream::Residence;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::Priority;
+use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::UpstreamName;
+use serde::Deserialize;
+use serde::Serialize;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Most wants that one report carries.
+const MAX_WANTS: usize = 16;
+
+/// Load of one upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UpstreamReport {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// What it serves.
+    pub serves: Serves,
+    /// Whether it takes new work.
+    pub takes_work: bool,
+    /// Requests running on it.
+    pub running: u32,
+    /// Requests that run on it at once.
+    pub batch: u32,
+    /// Adapters that fit at once.
+    pub slots: u32,
+    /// Adapters that take requests.
+    pub ready: Vec<AdapterRef>,
+    /// Adapters that are being loaded.
+    pub loading: Vec<AdapterRef>,
+}
+
+/// What an upstream serves.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Serves {
+    /// Adapters of one base model.
+    BaseModel(Box<str>),
+    /// A plain service.
+    Service(ServiceName),
+}
+
+/// An adapter that waits for permission to be loaded.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoadWant {
+    /// Adapter to load.
+    pub adapter: AdapterRef,
+    /// Requests that wait for it.
+    pub waiting: u32,
+    /// Age of the oldest of them.
+    pub oldest: Duration,
+    /// Highest class among them.
+    pub priority: Priority,
+}
+
+/// Load of one agent at one moment.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Load of each upstream.
+    pub upstreams: Vec<UpstreamReport>,
+    /// Requests that wait in the agent's queue.
+    pub queued: u32,
+    /// Mean time that a request runs.
+    pub mean_run: Duration,
+    /// Adapters that wait to be loaded, the costliest first.
+    pub wants: Vec<LoadWant>,
+}
+
+impl Residency {
+    /// Returns the present load.
+    pub fn report(&self, now: Instant) -> Report {
+        Report {
+            upstreams: self.upstream_reports(),
+            queued: to_u32(self.queued_len()),
+            mean_run: self.mean_run(),
+            wants: self.wants(now),
+        }
+    }
+
+    fn upstream_reports(&self) -> Vec<UpstreamReport> {
+        let with_state = |wanted: fn(&Residence) -> bool, key| -> Vec<AdapterRef> {
+            let residents = self.upstream(key).into_iter().flat_map(|u| &u.residents);
+            let chosen = residents.filter(|(_, resident)| wanted(&resident.state));
+            chosen.map(|(adapter, _)| adapter.clone()).collect()
+        };
+        self.upstreams()
+            .map(|(key, upstream)| UpstreamReport {
+                name: upstream.name.clone(),
+                serves: match &upstream.kind {
+                    Kind::Engine { base_model } => Serves::BaseModel(base_model.clone()),
+                    Kind::Service(name) => Serves::Service(name.clone()),
+                },
+                takes_work: upstream.takes_work() && !self.is_leaving(),
+                running: to_u32(upstream.running),
+                batch: to_u32(upstream.room.batch),
+                slots: to_u32(upstream.room.slots),
+                ready: with_state(|s| *s == Residence::Ready, key),
+                loading: with_state(|s| matches!(s, Residence::Loading { .. }), key),
+            })
+            .collect()
+    }
+
+    /// Returns the adapters that wait to be loaded, the costliest first.
+    pub fn wants(&self, now: Instant) -> Vec<LoadWant> {
+        let mut wants: HashMap<&AdapterRef, LoadWant> = HashMap::new();
+        for job in self.jobs() {
+            let AnyJob::Queued(job) = job else { continue };
+            let Target::Adapter { adapter, .. } = &job.target else {
+                continue;
+            };
+            if self.is_resident_anywhere(adapter) {
+                continue;
+            }
+            let age = now.saturating_duration_since(job.arrived);
+            let want = wants.entry(adapter).or_insert_with(|| LoadWant {
+                adapter: adapter.clone(),
+                waiting: 0,
+                oldest: Duration::ZERO,
+                priority: Priority::Low,
+            });
+            want.waiting += 1;
+            want.oldest = want.oldest.max(age);
+            want.priority = want.priority.max(job.priority);
+        }
+        let mut wants: Vec<LoadWant> = wants.into_values().collect();
+        wants.sort_by(|a, b| {
+            let costs = b.cost().total_cmp(&a.cost());
+            costs.then_with(|| a.adapter.cmp(&b.adapter))
+        });
+        wants.truncate(MAX_WANTS);
+        wants
+    }
+}
+
+impl LoadWant {
+    /// Returns the cost of waiting longer, in requests times seconds.
+    pub fn cost(&self) -> f64 {
+        let class = match self.priority {
+            Priority::Low => 0.5,
+            Priority::Normal => 1.0,
+            Priority::High => 2.0,
+        };
+        class * f64::from(self.waiting) * (0.1 + self.oldest.as_secs_f64())
+    }
+}
+
+fn to_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -0,0 +1,448 @@
+//! Events that change an agent's state.
+
+use crate::action::Action;
+use crate::budget::LoadBudget;
+use crate::job::AnyJob;
+use crate::job::Job;
+use crate::job::JobKey;
+use crate::job::Queued;
+use crate::job::RunEnd;
+use crate::job::Running;
+use crate::plan::Gate;
+use crate::popularity::Popularity;
+use crate::settings::Settings;
+use crate::upstream::Kind;
+use crate::upstream::Link;
+use crate::upstream::Residence;
+use crate::upstream::Resident;
+use crate::upstream::Room;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamKey;
+use crate::upstream::backoff_pause;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::BootId;
+use dogwoodshunt_types::NotRun;
+use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::invariant;
+use dogwoodshunt_types::invariant::Invariant;
+use slotmap::SlotMap;
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Weight of the newest run in the mean run time.
+const RUN_SMOOTHING: f64 = 0.1;
+
+/// Time after which a refused caller may find room elsewhere.
+pub(crate) const SHORT_RETRY: Duration = Duration::from_millis(500);
+
+/// How a load order ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderEnd {
+    /// The upstream carried the order out.
+    Done,
+    /// The upstream refused it or failed to carry it out.
+    Failed,
+    /// The answer was lost; the upstream may have carried it out.
+    Unsure,
+}
+
+/// What a probe of an upstream found.
+#[derive(Clone, Debug)]
+pub struct ProbeAnswer {
+    /// Boot of the upstream.
+    pub boot: BootId,
+    /// Room of the upstream.
+    pub room: Room,
+    /// Adapters that it holds.
+    pub resident: Vec<AdapterRef>,
+}
+
+/// State of one agent's upstreams and jobs.
+#[derive(Clone, Debug)]
+pub struct Residency {
+    pub(crate) settings: Settings,
+    pub(crate) upstreams: SlotMap<UpstreamKey, Upstream>,
+    pub(crate) jobs: SlotMap<JobKey, AnyJob>,
+    pub(crate) queue: Vec<JobKey>,
+    pub(crate) budget: LoadBudget,
+    pub(crate) popularity: Popularity,
+    pub(crate) preloads: HashSet<(AdapterRef, Box<str>)>,
+    leaving: bool,
+    mean_run: Duration,
+}
+
+impl Residency {
+    /// Creates an agent without upstreams.
+    pub fn new(settings: Settings) -> Self {
+        let budget = LoadBudget::new(settings.load_share, settings.granter_timeout);
+        let popularity = Popularity::new(settings.popularity_half_life);
+        Self {
+            settings,
+            upstreams: SlotMap::with_key(),
+            jobs: SlotMap::with_key(),
+            queue: Vec::new(),
+            budget,
+            popularity,
+            preloads: HashSet::new(),
+            leaving: false,
+            mean_run: Duration::from_millis(500),
+        }
+    }
+
+    /// Adds an upstream; it is used once a probe has answered.
+    pub fn add_upstream(&mut self, name: UpstreamName, kind: Kind) -> UpstreamKey {
+        self.upstreams.insert(Upstream::new(name, kind))
+    }
+
+    /// Returns all upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        self.upstreams.iter()
+    }
+
+    /// Returns one upstream.
+    pub fn upstream(&self, key: UpstreamKey) -> Option<&Upstream> {
+        self.upstreams.get(key)
+    }
+
+    /// Returns all jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = &AnyJob> {
+        self.jobs.values()
+    }
+
+    /// Returns one job.
+    pub fn job(&self, key: JobKey) -> Option<&AnyJob> {
+        self.jobs.get(key)
+    }
+
+    /// Returns how many jobs wait.
+    pub fn queued_len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns whether no job waits or runs.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Returns whether the agent takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Returns the mean time that a request runs.
+    pub fn mean_run(&self) -> Duration {
+        self.mean_run
+    }
+
+    /// Returns the permissions to load.
+    pub fn budget_mut(&mut self) -> &mut LoadBudget {
+        &mut self.budget
+    }
+
+    /// Returns whether `adapter` is ready, or about to be, on any upstream.
+    pub fn is_resident_anywhere(&self, adapter: &AdapterRef) -> bool {
+        self.upstreams
+            .values()
+            .any(|upstream| upstream.is_ready(adapter) || upstream.is_expected(adapter))
+    }
+
+    /// Takes in a job, or refuses it at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the job was not run where the agent is leaving, the gate is
+    /// closed, nothing here serves the target or the queue is full.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        job: Job<Queued>,
+        gate: &dyn Gate,
+    ) -> Result<JobKey, NotRun> {
+        if self.leaving {
+            return Err(NotRun::new(NotRunReason::Leaving, Duration::ZERO));
+        }
+        gate.check(&job.target)?;
+        if !self.serves(&job) {
+            return Err(NotRun::new(NotRunReason::NoUpstream, SHORT_RETRY));
+        }
+        if self.queue.len() >= self.settings.queue_limit {
+            return Err(NotRun::new(NotRunReason::Overloaded, self.mean_run));
+        }
+        if let Some(adapter) = job.target.adapter() {
+            self.popularity.record(now, adapter);
+        }
+        let key = self.jobs.insert(AnyJob::Queued(job));
+        self.queue.push(key);
+        Ok(key)
+    }
+
+    /// Ends a job whose caller has gone.
+    pub fn cancel(&mut self, key: JobKey) -> Vec<Action> {
+        match self.jobs.get(key) {
+            Some(AnyJob::Queued(_)) => {
+                let not_run = NotRun::new(NotRunReason::Cancelled, Duration::ZERO);
+                self.refuse(key, not_run).into_iter().collect()
+            }
+            Some(AnyJob::Running(_)) => vec![Action::CancelRun { job: key }],
+            None => Vec::new(),
+        }
+    }
+
+    /// Records how the run of a job ended.
+    ///
+    /// A job that its upstream declined goes back to the queue, or is refused
+    /// once it has been declined too often.
+    pub fn on_run_end(&mut self, now: Instant, key: JobKey, end: RunEnd) -> Vec<Action> {
+        let Some(AnyJob::Running(job)) = self.jobs.get(key).cloned() else {
+            return Vec::new();
+        };
+        self.unpin(&job, now);
+        match end {
+            RunEnd::Over => {
+                self.note_run(now.saturating_duration_since(job.since()));
+                self.jobs.remove(key);
+                return Vec::new();
+            }
+            RunEnd::AdapterMissing => self.forget_resident(&job),
+            RunEnd::Unreached => self.mark_down(job.upstream()),
+        }
+        let upstream = job.upstream();
+        let job = job.declined();
+        let declined = job.declined;
+        self.jobs[key] = AnyJob::Queued(job);
+        self.queue.push(key);
+        let mut actions = vec![Action::Probe { upstream }];
+        if declined >= self.settings.run_attempts {
+            let not_run = NotRun::new(NotRunReason::NoUpstream, SHORT_RETRY);
+            actions.extend(self.refuse(key, not_run));
+        }
+        actions
+    }
+
+    /// Records how a load order ended.
+    pub fn on_load_end(
+        &mut self,
+        now: Instant,
+        upstream: UpstreamKey,
+        adapter: &AdapterRef,
+        end: OrderEnd,
+    ) -> Vec<Action> {
+        match end {
+            OrderEnd::Done => {
+                self.finish_load(now, upstream, adapter);
+                Vec::new()
+            }
+            OrderEnd::Failed => self.fail_load(now, upstream, adapter),
+            OrderEnd::Unsure => self.doubt(upstream, adapter),
+        }
+    }
+
+    /// Records how an unload order ended.
+    pub fn on_unload_end(
+        &mut self,
+        upstream: UpstreamKey,
+        adapter: &AdapterRef,
+        end: OrderEnd,
+    ) -> Vec<Action> {
+        match end {
+            OrderEnd::Done => {
+                if let Some(upstream) = self.upstreams.get_mut(upstream) {
+                    upstream.residents.remove(adapter);
+                }
+                Vec::new()
+            }
+            OrderEnd::Failed | OrderEnd::Unsure => self.doubt(upstream, adapter),
+        }
+    }
+
+    /// Records a probe's answer.
+    pub fn on_probe(&mut self, now: Instant, key: UpstreamKey, answer: &ProbeAnswer) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.read_back(now, answer.boot, &answer.resident);
+        upstream.room = answer.room;
+    }
+
+    /// Records that an upstream does not answer.
+    pub fn on_upstream_down(&mut self, key: UpstreamKey) {
+        self.mark_down(key);
+    }
+
+    /// Records whether this agent may order its upstreams.
+    pub fn set_owned(&mut self, owned: bool) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.owned = owned;
+        }
+    }
+
+    /// Records whether one upstream is leaving.
+    pub fn set_upstream_leaving(&mut self, name: &str, leaving: bool) {
+        let upstreams = self.upstreams.values_mut();
+        for upstream in upstreams.filter(|upstream| *upstream.name == *name) {
+            upstream.leaving = leaving;
+        }
+    }
+
+    /// Records whether the whole agent is leaving.
+    ///
+    /// Jobs that wait are refused, so that entries send them elsewhere; jobs
+    /// that run are left to finish.
+    pub fn set_leaving(&mut self, leaving: bool) -> Vec<Action> {
+        self.leaving = leaving;
+        if !leaving {
+            return Vec::new();
+        }
+        let waiting = self.queue.clone();
+        let not_run = NotRun::new(NotRunReason::Leaving, Duration::ZERO);
+        waiting
+            .into_iter()
+            .filter_map(|key| self.refuse(key, not_run))
+            .collect()
+    }
+
+    /// Asks for `adapter` to be loaded before requests wait for it.
+    pub fn preload(&mut self, adapter: AdapterRef, base_model: &str) {
+        if !self.is_resident_anywhere(&adapter) {
+            self.preloads.insert((adapter, base_model.into()));
+        }
+    }
+
+    /// Refuses a queued job; a job in any other state is left alone.
+    pub(crate) fn refuse(&mut self, key: JobKey, not_run: NotRun) -> Option<Action> {
+        let Some(AnyJob::Queued(_)) = self.jobs.get(key) else {
+            return None;
+        };
+        self.queue.retain(|queued| *queued != key);
+        match self.jobs.remove(key) {
+            Some(AnyJob::Queued(job)) => Some(Action::NotRun {
+                job: key,
+                refused: job.refuse(not_run),
+            }),
+            Some(AnyJob::Running(_)) | None => None,
+        }
+    }
+
+    fn serves(&self, job: &Job<Queued>) -> bool {
+        self.upstreams
+            .values()
+            .any(|upstream| upstream.takes_work() && upstream.fits(&job.target))
+    }
+
+    fn unpin(&mut self, job: &Job<Running>, now: Instant) {
+        let upstream = self.upstreams.get_mut(job.upstream());
+        let Some(upstream) = upstream.filter(|upstream| upstream.boot == job.boot()) else {
+            return;
+        };
+        upstream.running = upstream.running.saturating_sub(1);
+        let Some(adapter) = job.target.adapter() else {
+            return;
+        };
+        if let Some(resident) = upstream.residents.get_mut(adapter) {
+            resident.pins = resident.pins.saturating_sub(1);
+            resident.last_used = now;
+        }
+    }
+
+    fn note_run(&mut self, ran: Duration) {
+        let mean = self.mean_run.as_secs_f64();
+        let mean = mean + RUN_SMOOTHING * (ran.as_secs_f64() - mean);
+        self.mean_run = Duration::from_secs_f64(mean);
+    }
+
+    fn forget_resident(&mut self, job: &Job<Running>) {
+        let upstream = self.upstreams.get_mut(job.upstream());
+        if let (Some(upstream), Some(adapter)) = (upstream, job.target.adapter()) {
+            let unpinned = |resident: &Resident| resident.pins == 0;
+            if upstream.residents.get(adapter).is_some_and(unpinned) {
+                upstream.residents.remove(adapter);
+            }
+        }
+    }
+
+    fn mark_down(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.link = Link::Down;
+        }
+    }
+
+    fn finish_load(&mut self, now: Instant, key: UpstreamKey, adapter: &AdapterRef) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        upstream.backoffs.remove(adapter);
+        if let Some(resident) = upstream.residents.get_mut(adapter) {
+            resident.state = Residence::Ready;
+            resident.last_used = now;
+        }
+    }
+
+    fn fail_load(&mut self, now: Instant, key: UpstreamKey, adapter: &AdapterRef) -> Vec<Action> {
+        let (first, most) = (self.settings.backoff_first, self.settings.backoff_most);
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return Vec::new();
+        };
+        upstream.residents.remove(adapter);
+        let before = upstream.backoffs.get(adapter).map_or(0, |b| b.failures);
+        let pause = backoff_pause(first, most, before + 1);
+        let failures = upstream.note_failure(adapter, now + pause);
+        if failures < self.settings.load_attempts {
+            return Vec::new();
+        }
+        self.refuse_waiters(adapter, NotRun::new(NotRunReason::LoadFailed, pause))
+    }
+
+    fn refuse_waiters(&mut self, adapter: &AdapterRef, not_run: NotRun) -> Vec<Action> {
+        let waiting: Vec<JobKey> = self
+            .queue
+            .iter()
+            .copied()
+            .filter(|key| match &self.jobs[*key] {
+                AnyJob::Queued(job) => job.target.adapter() == Some(adapter),
+                AnyJob::Running(_) => false,
+            })
+            .collect();
+        waiting
+            .into_iter()
+            .filter_map(|key| self.refuse(key, not_run))
+            .collect()
+    }
+
+    fn doubt(&mut self, key: UpstreamKey, adapter: &AdapterRef) -> Vec<Action> {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return Vec::new();
+        };
+        if let Some(resident) = upstream.residents.get_mut(adapter) {
+            resident.state = Residence::Unsure;
+        }
+        vec![Action::Probe { upstream: key }]
+    }
+
+    /// Checks the invariants of this slice.
+    ///
+    /// # Panics
+    ///
+    /// Panics on a violation if debug assertions are on.
+    #[must_use]
+    pub fn check_invariants(&self) -> bool {
+        let mut holds = true;
+        for job in self.jobs.values() {
+            let AnyJob::Running(job) = job else { continue };
+            let upstream = self.upstreams.get(job.upstream());
+            let upstream = upstream.filter(|upstream| upstream.boot == job.boot());
+            let (Some(upstream), Some(adapter)) = (upstream, job.target.adapter()) else {
+                continue;
+            };
+            let state = upstream.residents.get(adapter).map(|r| r.state);
+            let evicted = matches!(state, Some(Residence::Unloading));
+            holds &= invariant::check(
+                Invariant::PinnedNeverEvicted,
+                !evicted,
+                &format_args!("{adapter} is {state:?} while {} runs", job.request),
+            );
+        }
+        holds
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_residency/src/settings.rs
@@ -0,0 +1,45 @@
+//! Limits and weights of an agent's decisions.
+
+use bon::Builder;
+use std::time::Duration;
+
+/// Limits and weights of an agent's decisions.
+#[derive(Builder, Clone, Debug)]
+pub struct Settings {
+    /// Most jobs that may wait at once.
+    #[builder(default = 1024)]
+    pub queue_limit: usize,
+    /// How long a waiting adapter may be passed over for resident ones.
+    #[builder(default = Duration::from_millis(500))]
+    pub pass_over_limit: Duration,
+    /// Loads per second that this agent may start without a granter.
+    #[builder(default = 0.25)]
+    pub load_share: f64,
+    /// How long after its last word the granter counts as gone.
+    #[builder(default = Duration::from_secs(2))]
+    pub granter_timeout: Duration,
+    /// Time that one load takes while the weight store is not crowded.
+    #[builder(default = Duration::from_millis(250))]
+    pub load_time: Duration,
+    /// First pause after a failed load.
+    #[builder(default = Duration::from_millis(500))]
+    pub backoff_first: Duration,
+    /// Longest pause after failed loads.
+    #[builder(default = Duration::from_secs(30))]
+    pub backoff_most: Duration,
+    /// Failed loads after which waiting jobs are refused.
+    #[builder(default = 2)]
+    pub load_attempts: u32,
+    /// Times an upstream may decline a job before the agent refuses it.
+    #[builder(default = 3)]
+    pub run_attempts: u32,
+    /// Half-life of an adapter's popularity.
+    #[builder(default = Duration::from_secs(60))]
+    pub popularity_half_life: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -0,0 +1,135 @@
+//! What an entry knows of one agent.
+
+use dogwoodshunt_residency::Report;
+use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::report::Serves;
+use dogwoodshunt_residency::report::UpstreamReport;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::NodeId;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+slotmap::new_key_type! {
+    /// Names an agent that the entry knows.
+    pub struct AgentKey;
+}
+
+/// How near an adapter is to being ready on an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Nearness {
+    /// The adapter takes requests.
+    Ready,
+    /// The adapter is being loaded, or this entry has just sent a request for it.
+    Coming,
+    /// The adapter is not there.
+    Absent,
+}
+
+/// What an entry knows of one agent.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    /// Name of the agent.
+    pub node: NodeId,
+    /// Whether a connection to it is open.
+    pub connected: bool,
+    /// Whether it takes no new work, by any source.
+    pub leaving: bool,
+    report: Option<(Instant, Report)>,
+    in_flight: u32,
+    expected: HashMap<AdapterRef, u32>,
+}
+
+impl Agent {
+    /// Creates an agent of which nothing is known but its name.
+    pub fn new(node: NodeId) -> Self {
+        Self {
+            node,
+            connected: false,
+            leaving: false,
+            report: None,
+            in_flight: 0,
+            expected: HashMap::new(),
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn on_report(&mut self, now: Instant, report: Report) {
+        self.report = Some((now, report));
+    }
+
+    /// Returns the load report if it is younger than `limit`.
+    pub fn report(&self, now: Instant, limit: Duration) -> Option<&Report> {
+        let (at, report) = self.report.as_ref()?;
+        (now.saturating_duration_since(*at) < limit).then_some(report)
+    }
+
+    /// Returns the last load report, however old.
+    pub fn last_report(&self) -> Option<&Report> {
+        self.report.as_ref().map(|(_, report)| report)
+    }
+
+    /// Returns whether any upstream of the agent can serve `target`.
+    ///
+    /// An agent that has not reported yet serves nothing that is known.
+    pub fn serves(&self, target: &Target) -> bool {
+        let upstreams = self.report.iter().flat_map(|(_, report)| &report.upstreams);
+        let mut able = upstreams.filter(|upstream| upstream.takes_work);
+        able.any(|upstream| serves(upstream, target))
+    }
+
+    /// Returns whether new work may be sent to the agent.
+    pub fn takes_work(&self) -> bool {
+        self.connected && !self.leaving
+    }
+
+    /// Records an attempt that was sent to the agent.
+    pub fn reserve(&mut self, target: &Target) {
+        self.in_flight += 1;
+        if let Some(adapter) = target.adapter() {
+            *self.expected.entry(adapter.clone()).or_default() += 1;
+        }
+    }
+
+    /// Records that an attempt has ended.
+    pub fn release(&mut self, target: &Target) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let Some(adapter) = target.adapter() else {
+            return;
+        };
+        if let Some(count) = self.expected.get_mut(adapter) {
+            *count -= 1;
+            if *count == 0 {
+                self.expected.remove(adapter);
+            }
+        }
+    }
+
+    /// Returns this entry's attempts in flight on the agent.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns how near `adapter` is to being ready.
+    pub fn nearness(&self, adapter: &AdapterRef) -> Nearness {
+        let reports = || self.report.iter().flat_map(|(_, report)| &report.upstreams);
+        if reports().any(|upstream| upstream.takes_work && upstream.ready.contains(adapter)) {
+            return Nearness::Ready;
+        }
+        let loading = reports().any(|upstream| upstream.loading.contains(adapter));
+        if loading || self.expected.contains_key(adapter) {
+            return Nearness::Coming;
+        }
+        Nearness::Absent
+    }
+}
+
+/// Returns whether `upstream` can serve `target`.
+pub fn serves(upstream: &UpstreamReport, target: &Target) -> bool {
+    match (&upstream.serves, target) {
+        (Serves::BaseModel(held), Target::Adapter { base_model, .. }) => held == base_model,
+        (Serves::Service(held), Target::Service(name)) => held == name,
+        (Serves::BaseModel(_), Target::Service(_))
+        | (Serves::Service(_), Target::Adapter { .. }) => false,
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -0,0 +1,90 @@
+//! Estimated cost of sending a request to an agent, in seconds of waiting.
+
+use crate::agent::Agent;
+use crate::agent::Nearness;
+use crate::agent::serves;
+use crate::settings::Settings;
+use dogwoodshunt_residency::Report;
+use dogwoodshunt_residency::Target;
+use std::time::Instant;
+
+/// Load of the upstreams of an agent that can serve a target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests that run or wait.
+    pub busy: f64,
+    /// Requests that run at once.
+    pub batch: f64,
+    /// Mean time that a request runs, in seconds.
+    pub mean_run: f64,
+    /// Adapters that wait to be loaded.
+    pub wants: f64,
+}
+
+impl Load {
+    /// Returns the load that counts for `target`, or `None` where it is unknown.
+    ///
+    /// The report lags, so this entry's own attempts in flight count where
+    /// they exceed what the report shows.
+    pub fn of(now: Instant, agent: &Agent, target: &Target, settings: &Settings) -> Option<Self> {
+        let report = agent.report(now, settings.report_limit)?;
+        let batch = batch_of(report, target);
+        let running = running_of(report, target) + f64::from(report.queued);
+        Some(Self {
+            busy: running.max(f64::from(agent.in_flight())),
+            batch: batch.max(1.0),
+            mean_run: report.mean_run.as_secs_f64(),
+            wants: report.wants.len() as f64,
+        })
+    }
+
+    /// Returns the expected wait for room in the batch, in seconds.
+    ///
+    /// With a full batch of `b` requests that run `r` seconds each, one ends
+    /// every `r / b` seconds.
+    pub fn wait(&self) -> f64 {
+        let ahead = (self.busy + 1.0 - self.batch).max(0.0);
+        ahead * self.mean_run / self.batch
+    }
+
+    /// Returns how full the batch is, from 0 to 1.
+    pub fn fullness(&self) -> f64 {
+        (self.busy / self.batch).min(1.0)
+    }
+}
+
+/// Returns the expected load stall for an adapter at `nearness`, in seconds.
+pub fn stall(nearness: Nearness, load: &Load, settings: &Settings) -> f64 {
+    let load_time = settings.load_time.as_secs_f64();
+    match nearness {
+        Nearness::Ready => 0.0,
+        Nearness::Coming => load_time / 2.0,
+        Nearness::Absent => load_time + load.wants / settings.loads_per_second,
+    }
+}
+
+/// Returns the cost of sending a request for `target` to `agent`.
+pub fn estimate(now: Instant, agent: &Agent, target: &Target, settings: &Settings) -> Option<f64> {
+    let load = Load::of(now, agent, target, settings)?;
+    let stalled = target.adapter().map_or(0.0, |adapter| {
+        stall(agent.nearness(adapter), &load, settings)
+    });
+    let emptiness = 1.0 - load.fullness();
+    Some(load.wait() + settings.stall_weight * stalled + settings.batch_weight * emptiness)
+}
+
+fn batch_of(report: &Report, target: &Target) -> f64 {
+    let able = report
+        .upstreams
+        .iter()
+        .filter(|u| u.takes_work && serves(u, target));
+    able.map(|upstream| f64::from(upstream.batch)).sum()
+}
+
+fn running_of(report: &Report, target: &Target) -> f64 {
+    let able = report
+        .upstreams
+        .iter()
+        .filter(|u| u.takes_work && serves(u, target));
+    able.map(|upstream| f64::from(upstream.running)).sum()
+}
--- /dev/null
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -0,0 +1,218 @@
+//! Choice of an agent for each attempt.
+
+use crate::agent::Agent;
+use crate::agent::AgentKey;
+use crate::agent::Nearness;
+use crate::cost;
+use crate::retry;
+use crate::retry::Failure;
+use crate::retry::RetryBudget;
+use crate::retry::Tried;
+use crate::retry::Verdict;
+use crate::settings::Policy;
+use crate::settings::Settings;
+use dogwoodshunt_residency::Report;
+use dogwoodshunt_residency::Target;
+use dogwoodshunt_types::NodeId;
+use dogwoodshunt_types::NotRun;
+use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::invariant;
+use dogwoodshunt_types::invariant::Invariant;
+use dogwoodshunt_types::rendezvous;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Pause that a caller is told when no agent can take its request.
+const NO_AGENT_RETRY: Duration = Duration::from_secs(1);
+
+/// A request that needs an agent.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// What to run.
+    pub target: &'a Target,
+    /// When the first byte is of no more use.
+    pub deadline: Option<Instant>,
+    /// Agents that have declined the request.
+    pub excluded: &'a [AgentKey],
+}
+
+/// What an entry knows of the agents.
+#[derive(Clone, Debug)]
+pub struct Router {
+    settings: Settings,
+    agents: SlotMap<AgentKey, Agent>,
+    budget: RetryBudget,
+    rng: ChaCha8Rng,
+}
+
+impl Router {
+    /// Creates a router that knows no agent.
+    pub fn new(settings: Settings) -> Self {
+        let budget = RetryBudget::new(settings.retry_ratio, settings.retry_burst);
+        let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        Self {
+            settings,
+            agents: SlotMap::with_key(),
+            budget,
+            rng,
+        }
+    }
+
+    /// Adds an agent.
+    pub fn add_agent(&mut self, node: NodeId) -> AgentKey {
+        self.agents.insert(Agent::new(node))
+    }
+
+    /// Removes an agent.
+    pub fn remove_agent(&mut self, key: AgentKey) {
+        self.agents.remove(key);
+    }
+
+    /// Returns all agents.
+    pub fn agents(&self) -> impl Iterator<Item = (AgentKey, &Agent)> {
+        self.agents.iter()
+    }
+
+    /// Returns one agent.
+    pub fn agent(&self, key: AgentKey) -> Option<&Agent> {
+        self.agents.get(key)
+    }
+
+    /// Records whether a connection to the agent is open.
+    pub fn set_connected(&mut self, key: AgentKey, connected: bool) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.connected = connected;
+        }
+    }
+
+    /// Records whether the agent takes no new work.
+    pub fn set_leaving(&mut self, key: AgentKey, leaving: bool) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.leaving = leaving;
+        }
+    }
+
+    /// Takes in an agent's load report.
+    pub fn on_report(&mut self, now: Instant, key: AgentKey, report: Report) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.on_report(now, report);
+        }
+    }
+
+    /// Records a new request, which earns a part of a retry.
+    pub fn on_request(&mut self) {
+        self.budget.on_request();
+    }
+
+    /// Chooses an agent and reserves room on it.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no agent can take the request, and when to try again.
+    pub fn route(&mut self, now: Instant, ask: &Ask<'_>) -> Result<AgentKey, NotRun> {
+        let able: Vec<AgentKey> = self
+            .agents
+            .iter()
+            .filter(|(key, agent)| agent.takes_work() && !ask.excluded.contains(key))
+            .filter(|(_, agent)| agent.serves(ask.target))
+            .map(|(key, _)| key)
+            .collect();
+        let chosen = self.choose(now, ask, &able);
+        let key = chosen.ok_or(NotRun::new(NotRunReason::NoUpstream, NO_AGENT_RETRY))?;
+        self.check_deadline(now, ask, key)?;
+        let agent = &mut self.agents[key];
+        let takes_work = invariant::check(
+            Invariant::LeavingTakesNoWork,
+            agent.takes_work(),
+            &format_args!("route to {}", agent.node),
+        );
+        if !takes_work {
+            return Err(NotRun::new(NotRunReason::Leaving, NO_AGENT_RETRY));
+        }
+        agent.reserve(ask.target);
+        Ok(key)
+    }
+
+    /// Records that an attempt on an agent has ended.
+    pub fn on_end(&mut self, key: AgentKey, target: &Target) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.release(target);
+        }
+    }
+
+    /// Decides what follows a failed attempt.
+    pub fn after(&mut self, failure: Failure, tried: &Tried) -> Verdict {
+        retry::after(failure, tried, &mut self.budget, &mut self.rng)
+    }
+
+    /// Returns the most attempts that one request may take.
+    pub fn most_attempts(&self) -> u32 {
+        self.settings.attempts
+    }
+
+    fn choose(&mut self, now: Instant, ask: &Ask<'_>, able: &[AgentKey]) -> Option<AgentKey> {
+        match self.settings.policy {
+            Policy::Cost => self.cheapest(now, ask, able),
+            Policy::LeastLoaded => self.least_loaded(now, ask, able),
+            Policy::Random => {
+                let index = self.rng.random_range(0..able.len().max(1));
+                able.get(index).copied()
+            }
+            Policy::Rendezvous => self.ranked(ask.target, able).first().copied(),
+        }
+    }
+
+    /// Returns the cheapest of the agents where the adapter is near, and of
+    /// its homes; agents of unknown load come last.
+    fn cheapest(&self, now: Instant, ask: &Ask<'_>, able: &[AgentKey]) -> Option<AgentKey> {
+        let ranked = self.ranked(ask.target, able);
+        let known = ranked.iter().enumerate().filter_map(|(rank, key)| {
+            let agent = &self.agents[*key];
+            let near = ask
+                .target
+                .adapter()
+                .is_none_or(|adapter| agent.nearness(adapter) != Nearness::Absent);
+            let cost = cost::estimate(now, agent, ask.target, &self.settings)?;
+            (near || rank < self.settings.homes).then_some((cost, rank, *key))
+        });
+        let best = known.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        best.map(|(_, _, key)| key).or(ranked.first().copied())
+    }
+
+    fn least_loaded(&self, now: Instant, ask: &Ask<'_>, able: &[AgentKey]) -> Option<AgentKey> {
+        let busy = |key: &AgentKey| {
+            let load = cost::Load::of(now, &self.agents[*key], ask.target, &self.settings);
+            load.map_or(f64::MAX, |load| load.busy / load.batch)
+        };
+        able.iter()
+            .copied()
+            .min_by(|a, b| busy(a).total_cmp(&busy(b)))
+    }
+
+    fn ranked(&self, target: &Target, able: &[AgentKey]) -> Vec<AgentKey> {
+        let text = target.to_string();
+        let weight = |key: &AgentKey| rendezvous::weight(&text, &self.agents[*key].node);
+        let mut ranked = able.to_vec();
+        ranked.sort_by_cached_key(|key| std::cmp::Reverse(weight(key)));
+        ranked
+    }
+
+    fn check_deadline(&self, now: Instant, ask: &Ask<'_>, key: AgentKey) -> Result<(), NotRun> {
+        let Some(deadline) = ask.deadline else {
+            return Ok(());
+        };
+        let load = cost::Load::of(now, &self.agents[key], ask.target, &self.settings);
+        let wait = Duration::from_secs_f64(load.map_or(0.0, |load| load.wait()));
+        if now + wait < deadline {
+            return Ok(());
+        }
+        Err(NotRun::new(
+            NotRunReason::Deadline,
+            wait.max(NO_AGENT_RETRY),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_routing/src/settings.rs
@@ -0,0 +1,62 @@
+//! Weights and limits of an entry's decisions.
+
+use bon::Builder;
+use std::time::Duration;
+
+/// How an agent is chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Policy {
+    /// By estimated cost.
+    #[default]
+    Cost,
+    /// The agent with the fewest requests; a baseline.
+    LeastLoaded,
+    /// Any agent; a baseline.
+    Random,
+    /// The first agent by rendezvous hashing; a baseline.
+    Rendezvous,
+}
+
+/// Weights and limits of an entry's decisions.
+#[derive(Builder, Clone, Debug)]
+pub struct Settings {
+    /// How an agent is chosen.
+    #[builder(default)]
+    pub policy: Policy,
+    /// Cost of a second of load stall, in seconds of queue wait.
+    #[builder(default = 1.0)]
+    pub stall_weight: f64,
+    /// Cost of an empty batch, in seconds of queue wait.
+    #[builder(default = 0.05)]
+    pub batch_weight: f64,
+    /// Agents that an adapter may be brought to, the first by rendezvous hashing.
+    #[builder(default = 3)]
+    pub homes: usize,
+    /// Time that one load takes while the weight store is not crowded.
+    #[builder(default = Duration::from_millis(250))]
+    pub load_time: Duration,
+    /// Loads per second that the weight store allows.
+    #[builder(default = 4.0)]
+    pub loads_per_second: f64,
+    /// Age at which a load report counts as unknown.
+    #[builder(default = Duration::from_secs(2))]
+    pub report_limit: Duration,
+    /// Most attempts of one request.
+    #[builder(default = 4)]
+    pub attempts: u32,
+    /// Retries earned by one request.
+    #[builder(default = 0.1)]
+    pub retry_ratio: f64,
+    /// Retries that may be made at once after a quiet time.
+    #[builder(default = 20.0)]
+    pub retry_burst: f64,
+    /// Seed of the random choices.
+    #[builder(default = 0)]
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self::builder().build()
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the entry's decisions.
--- /dev/null
+++ b/crates/dogwoodshunt_runtime/src/lib.rs
@@ -0,0 +1,15 @@
+//! Settings, logs, metrics, threads and links that the programs share.
+//!
+//! This crate holds no decisions. [`settings`] reads files, [`telemetry`]
+//! writes logs and metrics, [`traffic`] runs the traffic threads, [`link`]
+//! carries frames between processes and [`shutdown`] waits for signals.
+
+pub mod boot;
+pub mod link;
+pub mod settings;
+pub mod shutdown;
+pub mod telemetry;
+pub mod traffic;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dogwoodshunt_runtime/src/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the runtime.
--- /dev/null
+++ b/crates/dogwoodshunt_runtime/src/traffic.rs
@@ -0,0 +1,32 @@
+//! Threads that carry traffic, apart from the thread of control state.
+
+use smol::Executor;
+use std::sync::Arc;
+use std::thread;
+
+/// Executor whose tasks run on traffic threads.
+pub type Traffic = Arc<Executor<'static>>;
+
+/// Threads of a [`Traffic`] executor; they end when this is dropped.
+pub struct TrafficThreads {
+    _stop: async_channel::Sender<()>,
+}
+
+/// Starts `threads` traffic threads.
+///
+/// # Errors
+///
+/// Fails if the system cannot start a thread.
+pub fn start(threads: usize) -> std::io::Result<(Traffic, TrafficThreads)> {
+    let executor: Traffic = Arc::new(Executor::new());
+    let (stop, stopped) = async_channel::bounded::<()>(1);
+    for index in 0..threads {
+        let (executor, stopped) = (executor.clone(), stopped.clone());
+        thread::Builder::new()
+            .name(format!("traffic-{index}"))
+            .spawn(move || {
+                let _ = smol::block_on(executor.run(stopped.recv()));
+            })?;
+    }
+    Ok((executor, TrafficThreads { _stop: stop }))
+}
--- /dev/null
+++ b/crates/dogwoodshunt_types/src/lib.rs
@@ -0,0 +1,30 @@
+//! Identifiers and small values shared by every dogwoodshunt crate.
+//!
+//! This crate decides nothing and does no I/O. Read [`id`] first, then
+//! [`adapter`], [`outcome`] and [`rendezvous`].
+
+pub mod adapter;
+pub mod id;
+pub mod invariant;
+pub mod outcome;
+pub mod rendezvous;
+
+#[cfg(test)]
+mod tests;
+
+pub use crate::adapter::AdapterRef;
+pub use crate::id::AdapterName;
+pub use crate::id::BootId;
+pub use crate::id::Epoch;
+pub use crate::id::FailureDomain;
+pub use crate::id::NodeId;
+pub use crate::id::RequestId;
+pub use crate::id::Revision;
+pub use crate::id::ServiceName;
+pub use crate::id::UnixMillis;
+pub use crate::id::UpstreamName;
+pub use crate::id::Version;
+pub use crate::outcome::NotRun;
+pub use crate::outcome::NotRunReason;
+pub use crate::outcome::Outcome;
+pub use crate::outcome::Priority;
--- /dev/null
+++ b/crates/dogwoodshunt_types/src/tests.rs
@@ -0,0 +1,29 @@
+//! Tests of the shared values.
+
+use crate::AdapterRef;
+use crate::rendezvous;
+use rstest::rstest;
+
+#[rstest]
+#[case("roast@3", Some(("roast", "3")))]
+#[case("roast", None)]
+#[case("roast@", None)]
+#[case("@3", None)]
+#[case("ro ast@3", None)]
+#[case("roast@3@4", None)]
+fn adapter_reference_is_parsed(#[case] text: &str, #[case] parts: Option<(&str, &str)>) {
+    let expected = parts.map(|(name, version)| AdapterRef::new(name, version));
+    assert_eq!(AdapterRef::parse(text), expected);
+}
+
+#[test]
+fn losing_a_candidate_moves_only_its_own_keys() {
+    let all = ["a", "b", "c", "d"];
+    let without_b = ["a", "c", "d"];
+    for key in 0..200 {
+        let key = key.to_string();
+        let before = rendezvous::pick(&key, all, 1)[0];
+        let after = rendezvous::pick(&key, without_b, 1)[0];
+        assert!(before == "b" || before == after);
+    }
+}
