Prove the promises under failure with processes, and add the operator's command

Cause: the thin path had no proof under kills, freezes, cuts, outages and operator races, and operators had no command.

Ruled out: testing through one process only; a frozen process cannot be shown that way. A relay keeps addresses stable over restarts, so no port is chosen ahead of time.

Change: dogwoodshunt-ctl with release, stop, status and audit; a crate for the operators' messages; dogwoodshunt_proof starts entries and agents as processes and compares what callers were told with what really ran.

--- /dev/null
+++ b/crates/dogwoodshunt_agent/tests/command_line.rs
@@ -0,0 +1,25 @@
+//! Tests of the agent's command line.
+
+#![expect(clippy::unwrap_used, reason = "a test helper may panic")]
+
+use std::fs;
+use std::process::Command;
+
+fn check(settings: &str) -> (Option<i32>, String) {
+    let path = std::env::temp_dir().join(format!("dogwoodshunt-agent-{}.json", std::process::id()));
+    fs::write(&path, settings).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_dogwoodshunt-agent"))
+        .arg("check")
+        .arg(&path)
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    (output.status.code(), text)
+}
+
+#[test]
+fn unknown_field_is_refused_with_its_line() {
+    let (code, text) = check("{\n  // A comment.\n  \"nod\": 1\n}");
+    assert_eq!(code, Some(2));
+    assert!(text.contains(":3:") && text.contains("`nod`"), "{text}");
+}
--- a/crates/dogwoodshunt_catalogue/src/conflict.rs
+++ b/crates/dogwoodshunt_catalogue/src/conflict.rs
@@ -23,7 +23,7 @@
 }
 
 /// Why a note is refused.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// A later note touches the same adapters.
--- a/crates/dogwoodshunt_catalogue/src/release.rs
+++ b/crates/dogwoodshunt_catalogue/src/release.rs
@@ -78,7 +78,7 @@
 }
 
 /// Something wrong with a release note, with its place in the file.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Problem {
     /// Place in the note, such as `added[2].version`.
     pub place: Box<str>,
--- a/crates/dogwoodshunt_ctl/src/lib.rs
+++ b/crates/dogwoodshunt_ctl/src/lib.rs
@@ -1,1 +1,15 @@
-//! Not built yet.
+//! The operator's command: release notes, planned stops, status and audit.
+//!
+//! [`cli`] defines the commands, [`run`] carries them out, [`render`] writes
+//! what they found as text, [`audit`] and [`diff`] compare revisions and
+//! [`exit`] names the exit codes.
+
+pub mod audit;
+pub mod cli;
+pub mod diff;
+pub mod exit;
+pub mod render;
+pub mod run;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/dogwoodshunt_ctl/src/tests.rs
@@ -0,0 +1,45 @@
+//! Tests of the operator's command.
+
+use crate::cli::Cli;
+use crate::diff::diff;
+use clap::CommandFactory;
+use dogwoodshunt_catalogue::AdapterSpec;
+use dogwoodshunt_catalogue::Change;
+use dogwoodshunt_catalogue::LogEntry;
+use dogwoodshunt_catalogue::ReleaseNote;
+
+fn entry(revision: u64, version: &str) -> LogEntry {
+    let spec = AdapterSpec::builder()
+        .adapter("roast")
+        .version(version)
+        .base_model("base")
+        .source("w")
+        .digest("d")
+        .build();
+    let note = ReleaseNote::builder().id("n").author("a").based_on(0_u64);
+    let note = if revision == 1 {
+        note.added(vec![spec]).build()
+    } else {
+        note.changed(vec![spec]).build()
+    };
+    LogEntry {
+        revision,
+        id: "n".into(),
+        author: "a".into(),
+        written_at: 0,
+        change: Change::Release(note),
+    }
+}
+
+#[test]
+fn command_line_is_consistent() {
+    Cli::command().debug_assert();
+}
+
+#[test]
+fn diff_joins_the_changes_of_one_adapter() {
+    let entries = [entry(1, "1"), entry(2, "2"), entry(3, "3")];
+    let steps = diff(&entries, 1, 3);
+    assert_eq!(steps.len(), 1);
+    assert_eq!((&*steps[0].before, &*steps[0].after), ("1", "3"));
+}
--- /dev/null
+++ b/crates/dogwoodshunt_ctl/tests/command_line.rs
@@ -0,0 +1,14 @@
+//! Tests of the operator's command line.
+
+use std::process::Command;
+
+#[test]
+fn entry_that_does_not_answer_is_exit_code_1() {
+    let output = Command::new(env!("CARGO_BIN_EXE_dogwoodshunt-ctl"))
+        .args(["--entry", "127.0.0.1:1", "status"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(text.contains("127.0.0.1:1"), "{text}");
+}
--- a/crates/dogwoodshunt_entry/src/control/agents.rs
+++ b/crates/dogwoodshunt_entry/src/control/agents.rs
@@ -14,6 +14,7 @@
     pub(super) fn on_agent_up(&mut self, now: Instant, agent: AgentKey, identity: Identity) {
         self.on_agent_down(agent);
         let peer = self.replica.add_peer(identity.clone());
+        self.router.set_node(agent, identity.node.clone());
         let process = self.agents.entry(agent).or_default();
         *process = AgentProcess {
             identity: Some(identity),
@@ -25,7 +26,7 @@
     }
 
     pub(super) fn on_agent_down(&mut self, agent: AgentKey) {
-        self.router.set_connected(agent, false);
+        self.router.set_usable(agent, false);
         let process = self.agents.get_mut(&agent);
         if let Some(peer) = process.and_then(|process| process.peer.take()) {
             self.replica.remove_peer(peer);
@@ -84,7 +85,7 @@
         if let Some(report) = beat.report {
             self.router.on_report(now, agent, report);
         }
-        self.router.set_connected(agent, beat.fresh);
+        self.router.set_usable(agent, beat.fresh);
         self.apply_leaving();
         if beat.echo == 0 {
             // The agent has just connected; an echo at once makes it fresh.
--- a/crates/dogwoodshunt_entry/src/control/inquiry.rs
+++ b/crates/dogwoodshunt_entry/src/control/inquiry.rs
@@ -3,15 +3,14 @@
 use crate::control::Control;
 use async_channel::Sender;
 use dogwoodshunt_catalogue::Catalogue;
+use dogwoodshunt_operator::messages::AgentState;
+use dogwoodshunt_operator::messages::Overview;
 use dogwoodshunt_replica::Standing;
 use dogwoodshunt_residency::report::Serves;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_types::AdapterRef;
-use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::Revision;
-use serde::Deserialize;
-use serde::Serialize;
 use std::collections::BTreeSet;
 use std::time::Instant;
 
@@ -39,48 +38,6 @@
     },
 }
 
-/// State of the fleet as one entry sees it.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Overview {
-    /// Name of the entry.
-    pub entry: NodeId,
-    /// Revision of its catalogue.
-    pub revision: Revision,
-    /// Whether it trusts its catalogue.
-    pub fresh: bool,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Whether it can serve callers: fresh, not leaving, with an agent to use.
-    pub ready: bool,
-    /// Adapters in force.
-    pub adapters: usize,
-    /// Hosts and upstreams with a planned stop.
-    pub stops: Vec<Box<str>>,
-    /// The agents.
-    pub agents: Vec<AgentState>,
-}
-
-/// State of one agent as an entry sees it.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct AgentState {
-    /// Name of the agent; empty until it has connected.
-    pub node: NodeId,
-    /// Whether a connection is open and the agent trusts its catalogue.
-    pub connected: bool,
-    /// Whether the agent trusts its catalogue.
-    pub fresh: bool,
-    /// Whether it takes no new work.
-    pub leaving: bool,
-    /// Whether nothing waits or runs on it.
-    pub empty: bool,
-    /// Fencing number of its orders; 0 while it may not give any.
-    pub epoch: Epoch,
-    /// Revision of its catalogue.
-    pub revision: Revision,
-    /// Names of its upstreams.
-    pub upstreams: Vec<Box<str>>,
-}
-
 impl Control {
     pub(super) fn answer(&self, now: Instant, inquiry: Inquiry) {
         match inquiry {
@@ -173,7 +130,7 @@
                 .identity
                 .as_ref()
                 .map_or_else(NodeId::default, |i| i.node.clone()),
-            connected: agent.connected,
+            connected: process.peer.is_some(),
             fresh: process.fresh,
             leaving: agent.leaving,
             empty: process.empty,
--- a/crates/dogwoodshunt_entry/src/control/mod.rs
+++ b/crates/dogwoodshunt_entry/src/control/mod.rs
@@ -9,9 +9,7 @@
 mod inquiry;
 mod placing;
 
-pub use crate::control::inquiry::AgentState;
 pub use crate::control::inquiry::Inquiry;
-pub use crate::control::inquiry::Overview;
 pub use crate::control::placing::Declined;
 pub use crate::control::placing::PlaceAsk;
 pub use crate::control::placing::Placement;
--- a/crates/dogwoodshunt_entry/src/operators/mod.rs
+++ b/crates/dogwoodshunt_entry/src/operators/mod.rs
@@ -1,18 +1,13 @@
 //! The operators' HTTP interface.
 //!
 //! `submit` appends changes to the log and waits for their acceptance;
-//! [`messages`] are the bodies.
+//! `proposal` turns operators' messages into changes.
 
-pub mod messages;
+mod proposal;
 mod submit;
 
 use crate::control::Event;
 use crate::control::Inquiry;
-use crate::operators::messages::Checked;
-use crate::operators::messages::Fault;
-use crate::operators::messages::LogPage;
-use crate::operators::messages::StopRequest;
-use crate::operators::messages::SubmitRelease;
 use async_channel::Sender;
 use dogwoodshunt_border::http::AnswerBody;
 use dogwoodshunt_border::http::body;
@@ -20,6 +15,11 @@
 use dogwoodshunt_border::http::server::Handler;
 use dogwoodshunt_border::kv::Kv;
 use dogwoodshunt_catalogue::Catalogue;
+use dogwoodshunt_operator::messages::Checked;
+use dogwoodshunt_operator::messages::Fault;
+use dogwoodshunt_operator::messages::LogPage;
+use dogwoodshunt_operator::messages::StopRequest;
+use dogwoodshunt_operator::messages::SubmitRelease;
 use dogwoodshunt_store::LogStore;
 use dogwoodshunt_types::Revision;
 use hyper::Method;
@@ -86,14 +86,17 @@
         let after: Revision = after
             .parse()
             .map_err(|_| Fault::bad("after must be a revision"))?;
-        let head = self.store.head().await.map_err(Fault::from)?.head;
+        let head = self.store.head().await.map_err(proposal::fault)?.head;
         let kept = dogwoodshunt_catalogue::head::first_kept(head.snapshot);
         let first = (after + 1).max(kept);
         let last = head.revision.min(first + LOG_PAGE - 1);
         let entries = if first > last {
             Vec::new()
         } else {
-            self.store.entries(first, last).await.map_err(Fault::from)?
+            self.store
+                .entries(first, last)
+                .await
+                .map_err(proposal::fault)?
         };
         Ok(server::json(
             200,
@@ -123,7 +126,7 @@
 
     async fn submit_release(&self, req: Request<Incoming>) -> Answer {
         let submitted: SubmitRelease = read(req).await?;
-        self.append(submitted.into_proposal()).await
+        self.append(proposal::of_release(submitted)).await
     }
 
     async fn plan_stop(&self, req: Request<Incoming>) -> Answer {
@@ -135,12 +138,12 @@
         if !problems.is_empty() && !stop.force {
             return Err(Fault::refused(problems.join("; ")));
         }
-        self.append(stop.into_plan()).await
+        self.append(proposal::of_stop(stop)).await
     }
 
     async fn cancel_stop(&self, req: Request<Incoming>) -> Answer {
         let stop: StopRequest = read(req).await?;
-        self.append(stop.into_cancel()).await
+        self.append(proposal::of_cancel(stop)).await
     }
 
     async fn ask<T>(&self, inquiry: impl FnOnce(Sender<T>) -> Inquiry) -> Result<T, Fault> {
--- a/crates/dogwoodshunt_entry/src/operators/submit.rs
+++ b/crates/dogwoodshunt_entry/src/operators/submit.rs
@@ -4,11 +4,12 @@
 use crate::control::Inquiry;
 use crate::operators::Answer;
 use crate::operators::OperatorApi;
-use crate::operators::messages::Appended;
-use crate::operators::messages::Fault;
+use crate::operators::proposal;
 use dogwoodshunt_border::http::server;
 use dogwoodshunt_border::kv::Kv;
 use dogwoodshunt_catalogue::Catalogue;
+use dogwoodshunt_operator::messages::Appended;
+use dogwoodshunt_operator::messages::Fault;
 use dogwoodshunt_replica::Standing;
 use dogwoodshunt_runtime::boot::unix_millis;
 use dogwoodshunt_store::log::Proposal;
@@ -34,7 +35,7 @@
         let before = catalogue.revision();
         let begun = Instant::now();
         let appended = self.store.append(&mut catalogue, &proposal, unix_millis());
-        let entry = appended.await.map_err(Fault::from)?;
+        let entry = appended.await.map_err(proposal::fault)?;
         info!(self.log, "change"; "revision" => entry.revision, "id" => %entry.id,
             "author" => %entry.author);
         self.tell(begun, before, catalogue).await;
--- a/crates/dogwoodshunt_local/src/fleet.rs
+++ b/crates/dogwoodshunt_local/src/fleet.rs
@@ -6,6 +6,7 @@
 use dogwoodshunt_border::http::Client;
 use dogwoodshunt_entry::Entry;
 use dogwoodshunt_entry::EntrySettings;
+use dogwoodshunt_operator::Operator;
 use dogwoodshunt_runtime::settings;
 use dogwoodshunt_runtime::traffic;
 use dogwoodshunt_runtime::traffic::Traffic;
@@ -110,6 +111,11 @@
 }
 
 impl Fleet {
+    /// Returns a client of an entry's operators' interface.
+    pub fn operator(&self, entry: usize) -> Operator {
+        Operator::new(self.client.clone(), self.operators[entry])
+    }
+
     /// Starts stand-ins, agents and entries.
     ///
     /// # Errors
--- a/crates/dogwoodshunt_local/src/lib.rs
+++ b/crates/dogwoodshunt_local/src/lib.rs
@@ -1,10 +1,10 @@
 //! Entry, agents and stand-ins in one process on loopback.
 //!
 //! [`fleet::Fleet`] starts them all; the README's first command and the tests
-//! of the whole path use it.
+//! of the whole path use it; [`samples`] makes adapters for them.
 
 pub mod fleet;
-pub mod operator;
+pub mod samples;
 
 #[cfg(test)]
 mod tests;
--- a/crates/dogwoodshunt_local/src/main.rs
+++ b/crates/dogwoodshunt_local/src/main.rs
@@ -3,22 +3,17 @@
 use clap::Parser;
 use dogwoodshunt_local::Fleet;
 use dogwoodshunt_local::Plan;
-use dogwoodshunt_local::operator;
+use dogwoodshunt_local::samples;
 use dogwoodshunt_runtime::settings::LogLevel;
 use dogwoodshunt_runtime::settings::TelemetrySettings;
 use dogwoodshunt_runtime::shutdown;
 use dogwoodshunt_runtime::telemetry;
-use smol::Timer;
 use std::error::Error;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 /// Adapters that are in force from the start.
 const SAMPLES: [&str; 3] = ["roast-schedule", "contract-reader", "cut-plan"];
 
-/// Time between two tries to submit the sample note while the fleet starts.
-const SUBMIT_PAUSE: Duration = Duration::from_millis(100);
-
 /// A whole fleet in one process on loopback, to try things out.
 ///
 /// Starts one entry, two agents and stand-ins for two engines, a plain
@@ -56,7 +51,9 @@
     };
     smol::block_on(async {
         let fleet = Fleet::start(&plan, &log).await?;
-        put_samples_into_force(&fleet).await?;
+        let operator = fleet.operator(0);
+        operator.wait_ready().await;
+        samples::add(&operator, "samples", &SAMPLES, "1").await?;
         println!("callers    http://{}", cli.callers);
         println!("operators  http://{}", cli.operators);
         println!("adapters   {}", SAMPLES.join(", "));
@@ -70,16 +67,3 @@
         Ok(())
     })
 }
-
-async fn put_samples_into_force(fleet: &Fleet) -> Result<(), Box<dyn Error>> {
-    let operators = fleet.operators[0];
-    operator::wait_ready(&fleet.client, operators).await;
-    loop {
-        let added = operator::add(&fleet.client, operators, "samples", &SAMPLES, "1").await;
-        match added {
-            Ok((200, _)) => return Ok(()),
-            Ok((202 | 503, _)) | Err(_) => Timer::after(SUBMIT_PAUSE).await,
-            Ok((status, answer)) => return Err(format!("status {status}: {answer}").into()),
-        };
-    }
-}
--- a/crates/dogwoodshunt_local/src/tests.rs
+++ b/crates/dogwoodshunt_local/src/tests.rs
@@ -2,7 +2,7 @@
 
 use crate::Fleet;
 use crate::Plan;
-use crate::operator;
+use crate::samples;
 use dogwoodshunt_border::http::body;
 use dogwoodshunt_runtime::telemetry;
 use http_body_util::Full;
@@ -16,10 +16,12 @@
     let fleet = Fleet::start(&Plan::default(), &telemetry::silent())
         .await
         .unwrap();
-    operator::wait_ready(&fleet.client, fleet.operators[0]).await;
-    let added = operator::add(&fleet.client, fleet.operators[0], "n1", &["roast"], "1");
-    let (status, answer) = added.await.unwrap();
-    assert_eq!(status, 200, "{answer}");
+    let operator = fleet.operator(0);
+    operator.wait_ready().await;
+    let added = samples::add(&operator, "n1", &["roast"], "1")
+        .await
+        .unwrap();
+    assert!(added.standing.accepted);
     fleet
 }
 
--- a/crates/dogwoodshunt_entry/src/operators/messages.rs
+++ b/crates/dogwoodshunt_operator/src/messages.rs
@@ -1,22 +1,18 @@
 //! Bodies of the operators' interface.
 
-use dogwoodshunt_catalogue::Change;
 use dogwoodshunt_catalogue::LogEntry;
 use dogwoodshunt_catalogue::ReleaseNote;
 use dogwoodshunt_catalogue::conflict::Rebase;
 use dogwoodshunt_catalogue::conflict::Refusal;
 use dogwoodshunt_catalogue::release::Problem;
 use dogwoodshunt_replica::Standing;
-use dogwoodshunt_store::log::Proposal;
-use dogwoodshunt_store::log::StoreError;
+use dogwoodshunt_types::Epoch;
+use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::Revision;
 use hyper::Method;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Seconds after which an operator may try again while the service is out.
-const RETRY_SECONDS: u64 = 2;
-
 /// A release note to submit or to check.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -53,7 +49,7 @@
 }
 
 /// Answer to a check.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Checked {
     /// All problems of the note.
     pub problems: Vec<Problem>,
@@ -71,7 +67,7 @@
 }
 
 /// Why a change or a question is refused.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Fault {
     /// HTTP status.
     pub status: u16,
@@ -86,7 +82,8 @@
 }
 
 impl Fault {
-    fn new(status: u16, message: impl Into<String>) -> Self {
+    /// Creates a fault with a status and a message.
+    pub fn new(status: u16, message: impl Into<String>) -> Self {
         Self {
             status,
             message: message.into(),
@@ -117,64 +114,44 @@
     }
 }
 
-impl From<StoreError> for Fault {
-    fn from(error: StoreError) -> Self {
-        let unsure = error.is_unsure();
-        let message = if unsure {
-            format!("{error}; the change may stand: submit it again with the same id")
-        } else {
-            error.to_string()
-        };
-        match error {
-            StoreError::Refused { refusal } => Self {
-                refusal: Some(refusal),
-                ..Self::new(409, message)
-            },
-            StoreError::Apply { .. }
-            | StoreError::Assemble { .. }
-            | StoreError::Contended
-            | StoreError::Decode { .. }
-            | StoreError::Encode { .. }
-            | StoreError::Kv { .. } => Self {
-                unsure,
-                retry_after: Some(RETRY_SECONDS),
-                ..Self::new(503, message)
-            },
-        }
-    }
-}
-
-impl SubmitRelease {
-    /// Returns the change to append.
-    pub fn into_proposal(self) -> Proposal {
-        Proposal {
-            id: self.note.id.clone(),
-            author: self.note.author.clone(),
-            change: Change::Release(self.note),
-            rebase: self.rebase,
-        }
-    }
+/// State of the fleet as one entry sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Overview {
+    /// Name of the entry.
+    pub entry: NodeId,
+    /// Revision of its catalogue.
+    pub revision: Revision,
+    /// Whether it trusts its catalogue.
+    pub fresh: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Whether it can serve callers: fresh, not leaving, with an agent to use.
+    pub ready: bool,
+    /// Adapters in force.
+    pub adapters: usize,
+    /// Hosts and upstreams with a planned stop.
+    pub stops: Vec<Box<str>>,
+    /// The agents.
+    pub agents: Vec<AgentState>,
 }
 
-impl StopRequest {
-    /// Returns the change that plans the stop.
-    pub fn into_plan(self) -> Proposal {
-        let target = self.target.clone();
-        self.into_proposal(Change::PlanStop { target })
-    }
-
-    /// Returns the change that lifts the stop.
-    pub fn into_cancel(self) -> Proposal {
-        let target = self.target.clone();
-        self.into_proposal(Change::CancelStop { target })
-    }
-
-    fn into_proposal(self, change: Change) -> Proposal {
-        Proposal {
-            id: self.id,
-            author: self.author,
-            change,
-            rebase: Rebase::Allowed,
-        }
-    }
+/// State of one agent as an entry sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AgentState {
+    /// Name of the agent; empty until it has connected.
+    pub node: NodeId,
+    /// Whether a connection is open.
+    pub connected: bool,
+    /// Whether the agent trusts its catalogue.
+    pub fresh: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Whether nothing waits or runs on it.
+    pub empty: bool,
+    /// Fencing number of its orders; 0 while it may not give any.
+    pub epoch: Epoch,
+    /// Revision of its catalogue.
+    pub revision: Revision,
+    /// Names of its upstreams.
+    pub upstreams: Vec<Box<str>>,
 }
--- /dev/null
+++ b/crates/dogwoodshunt_proof/src/cluster.rs
@@ -0,0 +1,404 @@
+//! A whole system: processes of entries and agents, stand-ins in this process.
+
+use crate::caller::Caller;
+use crate::process::Process;
+use crate::relay::Relay;
+use dogwoodshunt_border::http::Client;
+use dogwoodshunt_border::http::HttpError;
+use dogwoodshunt_border::http::body;
+use dogwoodshunt_local::samples;
+use dogwoodshunt_local::samples::BASE_MODEL;
+use dogwoodshunt_operator::Operator;
+use dogwoodshunt_runtime::traffic;
+use dogwoodshunt_runtime::traffic::Traffic;
+use dogwoodshunt_runtime::traffic::TrafficThreads;
+use dogwoodshunt_standins::engine::EngineStandin;
+use dogwoodshunt_standins::engine::Shape as EngineShape;
+use dogwoodshunt_standins::engine::handler::Serving;
+use dogwoodshunt_standins::host_list::Hosts;
+use dogwoodshunt_standins::kv::KvStandin;
+use dogwoodshunt_standins::serve::Served;
+use dogwoodshunt_standins::serve::serve;
+use dogwoodshunt_standins::service::Service;
+use dogwoodshunt_standins::weight_store::WeightStore;
+use http_body_util::Full;
+use hyper::Request;
+use serde_json::Value;
+use serde_json::json;
+use smol::Timer;
+use std::fs;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// Key of the clusters that tests start.
+const SHARED_KEY: &str = "key of a test cluster";
+
+/// Name of the plain service.
+pub const SERVICE: &str = "dispatch";
+
+/// Time that a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time between two looks at something that is awaited.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Failure domains of the hosts, in turn.
+const DOMAINS: [&str; 4] = ["kicukiro", "gasabo", "nyarugenge", "masaka"];
+
+/// Largest answer read from a stand-in, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Size of a cluster.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Entries.
+    pub entries: usize,
+    /// Agents, each with one engine and one instance of the plain service.
+    pub agents: usize,
+    /// Adapters that fit into an engine.
+    pub slots: usize,
+    /// Requests that run in an engine at once.
+    pub batch: usize,
+    /// Time per generated token.
+    pub token_time: Duration,
+    /// Whether engines refuse old fencing numbers.
+    pub check_fencing: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self {
+            entries: 2,
+            agents: 2,
+            slots: 4,
+            batch: 16,
+            token_time: Duration::from_millis(2),
+            check_fencing: true,
+        }
+    }
+}
+
+/// An agent's process, with its relay.
+pub struct AgentHost {
+    /// Name of the host.
+    pub name: String,
+    /// The process; `None` while it is down.
+    pub process: Option<Process>,
+    /// Relay between the entries and the agent.
+    pub relay: Relay,
+    /// Address of the host's engine.
+    pub engine: SocketAddr,
+    /// Address of the host's plain service.
+    pub service: SocketAddr,
+    settings: PathBuf,
+}
+
+/// An entry's process.
+pub struct EntryHost {
+    /// Name of the host.
+    pub name: String,
+    /// The process; `None` while it is down.
+    pub process: Option<Process>,
+    /// Callers' address.
+    pub callers: SocketAddr,
+    /// Operators' address.
+    pub operators: SocketAddr,
+    settings: PathBuf,
+}
+
+/// A whole system.
+pub struct Cluster {
+    /// The agents.
+    pub agents: Vec<AgentHost>,
+    /// The entries.
+    pub entries: Vec<EntryHost>,
+    /// Relay between all processes and the key-value service.
+    pub kv: Relay,
+    /// Address of the host list.
+    pub hosts: SocketAddr,
+    /// Client for the test's own calls.
+    pub client: Arc<Client>,
+    /// Threads of the stand-ins and the test's calls.
+    pub traffic: Traffic,
+    kv_standin: SocketAddr,
+    dir: TempDir,
+    _standins: Vec<Served>,
+    _threads: TrafficThreads,
+}
+
+impl Cluster {
+    /// Starts a cluster and waits until every entry can serve callers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a process does not start.
+    pub async fn start(shape: &Shape) -> io::Result<Self> {
+        let (traffic, threads) = traffic::start(4)?;
+        let client = Arc::new(Client::new(traffic.clone(), CONNECT_TIMEOUT));
+        let kv_standin = serve(any_port(), &traffic, Arc::new(KvStandin::new())).await?;
+        let kv = Relay::start(&traffic).await?;
+        kv.set_target(kv_standin.address);
+        let hosts = Hosts::new(Duration::from_millis(100));
+        let hosts = serve(any_port(), &traffic, Arc::new(hosts)).await?;
+        let weights = serve(any_port(), &traffic, Arc::new(WeightStore::new())).await?;
+        let weights_address = weights.address;
+        let mut cluster = Self {
+            agents: Vec::new(),
+            entries: Vec::new(),
+            kv,
+            hosts: hosts.address,
+            client,
+            traffic,
+            kv_standin: kv_standin.address,
+            dir: TempDir::new()?,
+            _standins: vec![kv_standin, hosts, weights],
+            _threads: threads,
+        };
+        for index in 0..shape.agents {
+            cluster.add_agent(shape, index, weights_address).await?;
+        }
+        for index in 0..shape.entries {
+            cluster.add_entry(index)?;
+        }
+        for index in 0..shape.entries {
+            cluster.operator(index).wait_ready().await;
+        }
+        Ok(cluster)
+    }
+
+    /// Returns a client of an entry's operators' interface.
+    pub fn operator(&self, entry: usize) -> Operator {
+        Operator::new(self.client.clone(), self.entries[entry].operators)
+    }
+
+    /// Returns a caller of an entry.
+    pub fn caller(&self, entry: usize) -> Caller {
+        Caller::new(self.client.clone(), self.entries[entry].callers)
+    }
+
+    /// Puts adapters into force, at `version`, and waits until they are.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the note is refused.
+    pub async fn add_adapters(&self, id: &str, adapters: &[&str], version: &str) {
+        let operator = self.operator(0);
+        let added = samples::add(&operator, id, adapters, version).await;
+        let revision = match added {
+            Ok(appended) => appended.entry.revision,
+            Err(error) => panic!("note {id}: {error}"),
+        };
+        self.wait_in_force(revision).await;
+    }
+
+    /// Waits until a revision is in force.
+    pub async fn wait_in_force(&self, revision: u64) {
+        let operator = self.operator(0);
+        loop {
+            let standing = operator.standing(revision).await;
+            if standing.is_ok_and(|standing| standing.in_force) {
+                return;
+            }
+            Timer::after(POLL).await;
+        }
+    }
+
+    /// Starts an agent's process again, on the same host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub fn start_agent(&mut self, index: usize) -> io::Result<()> {
+        let host = &mut self.agents[index];
+        let process = Process::start("dogwoodshunt-agent", &host.settings)?;
+        host.relay.set_target(address_of(&process, "listen")?);
+        host.process = Some(process);
+        Ok(())
+    }
+
+    /// Starts an entry's process again, on the same host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not start.
+    pub fn start_entry(&mut self, index: usize) -> io::Result<()> {
+        let host = &mut self.entries[index];
+        let process = Process::start("dogwoodshunt-entry", &host.settings)?;
+        host.callers = address_of(&process, "callers")?;
+        host.operators = address_of(&process, "operators")?;
+        host.process = Some(process);
+        Ok(())
+    }
+
+    /// Posts JSON to a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer.
+    pub async fn post_standin(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        value: &Value,
+    ) -> Result<(), HttpError> {
+        let req = Request::post(path).header("host", "standin");
+        let req = req.body(Full::new(value.to_string().into()));
+        self.call_standin(address, req).await.map(drop)
+    }
+
+    /// Gets JSON from a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer.
+    pub async fn get_standin(&self, address: SocketAddr, path: &str) -> Result<Value, HttpError> {
+        let req = Request::get(path).header("host", "standin");
+        self.call_standin(address, req.body(Full::default())).await
+    }
+
+    /// Sets what the key-value service does wrong.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not answer.
+    pub async fn set_kv_fault(&self, fault: &str) {
+        let fault = json!({ "fault": fault });
+        let set = self
+            .post_standin(self.kv_standin, "/standin/faults", &fault)
+            .await;
+        assert!(set.is_ok(), "{set:?}");
+    }
+
+    /// Returns the reads and writes that the key-value service has answered.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not answer.
+    pub async fn kv_calls(&self) -> (u64, u64) {
+        let calls = self.get_standin(self.kv_standin, "/standin/calls").await;
+        let calls = calls.unwrap_or_default();
+        let count = |name: &str| calls[name].as_u64();
+        match (count("reads"), count("writes")) {
+            (Some(reads), Some(writes)) => (reads, writes),
+            _ => panic!("the key-value service's stand-in does not answer: {calls}"),
+        }
+    }
+
+    async fn call_standin(
+        &self,
+        address: SocketAddr,
+        req: Result<Request<Full<bytes::Bytes>>, hyper::http::Error>,
+    ) -> Result<Value, HttpError> {
+        const STEP: &str = "call stand-in";
+        let peer = address.to_string();
+        let lost = |message: String| HttpError::Lost {
+            step: STEP,
+            peer: peer.as_str().into(),
+            message: message.into(),
+        };
+        let req = req.map_err(|error| lost(error.to_string()))?;
+        let response = self.client.send(STEP, &peer, req).await?;
+        let bytes = body::read(response.into_body(), MAX_ANSWER_BYTES).await;
+        let bytes = bytes.map_err(|error| lost(error.to_string()))?;
+        Ok(serde_json::from_slice(&bytes).unwrap_or(Value::Null))
+    }
+
+    async fn add_agent(
+        &mut self,
+        shape: &Shape,
+        index: usize,
+        weights: SocketAddr,
+    ) -> io::Result<()> {
+        let engine_shape = EngineShape {
+            base_model: BASE_MODEL.into(),
+            slots: shape.slots,
+            batch: shape.batch,
+            token_time: shape.token_time,
+            check_fencing: shape.check_fencing,
+        };
+        let weights = weights.to_string();
+        let client = self.client.clone();
+        let engine = EngineStandin::new(engine_shape, client, Some(&weights), &self.traffic);
+        let engine = serve(any_port(), &self.traffic, Arc::new(Serving(engine))).await?;
+        let service = Arc::new(Service::new(SERVICE, Duration::from_millis(20)));
+        let service = serve(any_port(), &self.traffic, service).await?;
+        let name = format!("host-{index}");
+        let settings = json!({
+            "node": {"name": name, "failure_domain": DOMAINS[index % DOMAINS.len()]},
+            "listen": any_port(),
+            "shared_key": SHARED_KEY,
+            "key_value_service": self.kv.address,
+            "heartbeat_ms": 100,
+            "load_share": 2.0,
+            "upstreams": [
+                {"name": format!("runner-{index}"), "address": engine.address, "serves":
+                    {"engine": {"base_model": BASE_MODEL, "slots": shape.slots, "batch": shape.batch}}},
+                {"name": format!("{SERVICE}-{index}"), "address": service.address, "serves":
+                    {"service": {"name": SERVICE, "concurrency": 16}}},
+            ],
+        });
+        self.agents.push(AgentHost {
+            settings: self.write_settings(&name, &settings)?,
+            name,
+            process: None,
+            relay: Relay::start(&self.traffic).await?,
+            engine: engine.address,
+            service: service.address,
+        });
+        self._standins.extend([engine, service]);
+        self.start_agent(index)
+    }
+
+    fn add_entry(&mut self, index: usize) -> io::Result<()> {
+        let name = format!("entry-{index}");
+        let agents: Vec<SocketAddr> = self.agents.iter().map(|a| a.relay.address).collect();
+        let settings = json!({
+            "node": {"name": name, "failure_domain": DOMAINS[index % DOMAINS.len()]},
+            "listen_callers": any_port(),
+            "listen_operators": any_port(),
+            "shared_key": SHARED_KEY,
+            "key_value_service": self.kv.address,
+            "host_list": self.hosts,
+            "heartbeat_ms": 100,
+            "default_deadline_ms": 10_000,
+            "agents": agents,
+        });
+        self.entries.push(EntryHost {
+            settings: self.write_settings(&name, &settings)?,
+            name,
+            process: None,
+            callers: any_port(),
+            operators: any_port(),
+        });
+        self.start_entry(index)
+    }
+
+    fn write_settings(&self, name: &str, settings: &Value) -> io::Result<PathBuf> {
+        let path = self.dir.path().join(format!("{name}.json"));
+        fs::write(&path, settings.to_string())?;
+        Ok(path)
+    }
+
+    /// Returns the logs of all processes, for a test that failed.
+    pub fn logs(&self) -> String {
+        let settings = self.agents.iter().map(|host| &host.settings);
+        let settings = settings.chain(self.entries.iter().map(|host| &host.settings));
+        let logs = settings.map(|path| fs::read_to_string(path.with_extension("log")));
+        logs.map_while(Result::ok).collect()
+    }
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn address_of(process: &Process, key: &str) -> io::Result<SocketAddr> {
+    let field = process.started_field(key);
+    let address = field.and_then(|text| text.parse().ok());
+    address.ok_or_else(|| io::Error::other(format!("the process logged no {key}")))
+}
--- /dev/null
+++ b/crates/dogwoodshunt_proof/tests/kills.rs
@@ -0,0 +1,97 @@
+//! Entries and agents that are killed, frozen and cut off under load.
+
+#![expect(clippy::unwrap_used, reason = "a test helper may panic")]
+
+use dogwoodshunt_proof::Cluster;
+use dogwoodshunt_proof::Load;
+use dogwoodshunt_proof::Shape;
+use dogwoodshunt_proof::Tally;
+use dogwoodshunt_proof::load::Mix;
+use dogwoodshunt_proof::relay::Mode;
+use rstest::rstest;
+use smol::Timer;
+use std::time::Duration;
+
+const ADAPTERS: [&str; 3] = ["roast", "lathe", "cut"];
+
+/// Time for which load runs before and after a failure.
+const AROUND: Duration = Duration::from_millis(800);
+
+#[derive(Clone, Copy, Debug)]
+enum Failure {
+    AgentCut,
+    AgentFrozen,
+    AgentKilled,
+    AgentStalledAnswers,
+    AgentStalledRequests,
+    EntryKilled,
+}
+
+async fn fail(cluster: &mut Cluster, failure: Failure) {
+    let relay = cluster.agents[0].relay.clone();
+    match failure {
+        Failure::AgentCut => {
+            for _ in 0..5 {
+                relay.set_mode(Mode::Cut);
+                Timer::after(Duration::from_millis(100)).await;
+                relay.set_mode(Mode::Open);
+                Timer::after(Duration::from_millis(300)).await;
+            }
+        }
+        Failure::AgentFrozen => {
+            let process = cluster.agents[0].process.as_ref().unwrap();
+            process.freeze().unwrap();
+            Timer::after(Duration::from_secs(4)).await;
+            process.wake().unwrap();
+        }
+        Failure::AgentKilled => {
+            cluster.agents[0].process.take().unwrap().kill().unwrap();
+            Timer::after(Duration::from_millis(500)).await;
+            cluster.start_agent(0).unwrap();
+        }
+        Failure::AgentStalledAnswers | Failure::AgentStalledRequests => {
+            let mode = match failure {
+                Failure::AgentStalledAnswers => Mode::StallAnswers,
+                _ => Mode::StallRequests,
+            };
+            relay.set_mode(mode);
+            Timer::after(Duration::from_secs(4)).await;
+            relay.set_mode(Mode::Open);
+        }
+        Failure::EntryKilled => {
+            cluster.entries[1].process.take().unwrap().kill().unwrap();
+            Timer::after(Duration::from_millis(500)).await;
+            cluster.start_entry(1).unwrap();
+        }
+    }
+}
+
+#[rstest]
+#[case(Failure::AgentCut)]
+#[case(Failure::AgentFrozen)]
+#[case(Failure::AgentKilled)]
+#[case(Failure::AgentStalledAnswers)]
+#[case(Failure::AgentStalledRequests)]
+#[case(Failure::EntryKilled)]
+fn callers_are_told_the_truth(#[case] failure: Failure) {
+    smol::block_on(async {
+        let mut cluster = Cluster::start(&Shape::default()).await.unwrap();
+        cluster.add_adapters("n1", &ADAPTERS, "1").await;
+        let tally = Tally::new();
+        let mix = Mix {
+            adapters: ADAPTERS.map(str::to_owned).to_vec(),
+            period: Duration::from_millis(5),
+            tokens: 20,
+            seed: 7,
+        };
+        let load = Load::start(&cluster, mix, &tally);
+        Timer::after(AROUND).await;
+        fail(&mut cluster, failure).await;
+        Timer::after(AROUND).await;
+        load.stop().await;
+        println!("{failure:?}: {}", tally.counts());
+        let violations = tally.violations(&cluster).await;
+        assert!(violations.is_empty(), "{violations:#?}\n{}", cluster.logs());
+        assert!(tally.counts().answered > 0, "{}", cluster.logs());
+    });
+}
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -29,10 +29,10 @@
 /// What an entry knows of one agent.
 #[derive(Clone, Debug)]
 pub struct Agent {
-    /// Name of the agent.
+    /// Name of the agent; its address until it has connected.
     pub node: NodeId,
-    /// Whether a connection to it is open.
-    pub connected: bool,
+    /// Whether it is connected and trusts its catalogue.
+    pub usable: bool,
     /// Whether it takes no new work, by any source.
     pub leaving: bool,
     report: Option<(Instant, Report)>,
@@ -45,7 +45,7 @@
     pub fn new(node: NodeId) -> Self {
         Self {
             node,
-            connected: false,
+            usable: false,
             leaving: false,
             report: None,
             in_flight: 0,
@@ -80,7 +80,7 @@
 
     /// Returns whether new work may be sent to the agent.
     pub fn takes_work(&self) -> bool {
-        self.connected && !self.leaving
+        self.usable && !self.leaving
     }
 
     /// Records an attempt that was sent to the agent.
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -82,10 +82,17 @@
         self.agents.get(key)
     }
 
-    /// Records whether a connection to the agent is open.
-    pub fn set_connected(&mut self, key: AgentKey, connected: bool) {
+    /// Records the name that an agent has given itself.
+    pub fn set_node(&mut self, key: AgentKey, node: NodeId) {
         if let Some(agent) = self.agents.get_mut(key) {
-            agent.connected = connected;
+            agent.node = node;
+        }
+    }
+
+    /// Records whether the agent is connected and trusts its catalogue.
+    pub fn set_usable(&mut self, key: AgentKey, usable: bool) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.usable = usable;
         }
     }
 
