Add a soak that injects random faults, one or two at a time

Cause: focused tests meet one failure each; the users ask for long randomised runs.

Ruled out: a cluster simulator (not wanted now); faults inside the programs (they would test the injection).

--- a/crates/dogwoodshunt_proof/src/lib.rs
+++ b/crates/dogwoodshunt_proof/src/lib.rs
@@ -3,13 +3,15 @@
 //! Entries and agents run as processes of their own; the stand-ins run in the
 //! test's process, which counts what really ran. [`cluster`] starts them,
 //! [`process`] kills and freezes them, [`relay`] cuts their connections,
-//! [`load`] keeps callers asking and [`tally`] compares what callers were told with what ran.
+//! [`load`] keeps callers asking and [`tally`] compares what callers were told with what ran. [`soak`] does all of it at
+//! random for as long as it is told to.
 
 pub mod caller;
 pub mod cluster;
 pub mod load;
 pub mod process;
 pub mod relay;
+pub mod soak;
 pub mod tally;
 
 pub use crate::caller::Caller;
