Order loads through one granter, and load new versions ahead of requests

Cause: each agent loaded at a fixed share of the weight store's rate, so 18 agents at 0.25 loads a second left the store idle while one agent's callers waited; a new version stalled its callers for the whole load.

Ruled out: permits in the key-value service (each load would cost two writes, and an outage would stop loads); a lease for the granter (two granters for a moment only slow loads down).

Ruled out for the previous version: the newest but one of the versions held; with a note that changes and withdraws it would name an even older one. The catalogue now keeps the version before (test previous_version_is_gone_once_it_is_withdrawn).

--- a/crates/dogwoodshunt_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_agent/src/control/links.rs
@@ -6,10 +6,12 @@
 use async_channel::Sender;
 use dogwoodshunt_replica::PeerKey;
 use dogwoodshunt_runtime::link::Link;
+use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Beat;
 use slog::info;
+use std::collections::HashSet;
 use std::time::Instant;
 
 /// One entry's connection.
@@ -17,6 +19,7 @@
     pub(super) entry_boot: BootId,
     pub(super) peer: PeerKey,
     pub(super) tx: Sender<Frame>,
+    pub(super) granter: bool,
 }
 
 impl Control {
@@ -30,6 +33,7 @@
             entry_boot,
             peer,
             tx,
+            granter: false,
         });
         let events = self.around.events.clone();
         let receive = async move {
@@ -82,6 +86,12 @@
             Frame::Beat(beat) => {
                 let answer = self.replica.on_beat(now, peer, &beat);
                 self.send_all(key, answer);
+                if let Some(link) = self.links.get_mut(key) {
+                    link.granter = beat.granter;
+                }
+                if beat.granter {
+                    self.residency.budget_mut().on_granter(now);
+                }
                 if beat.echo == 0 {
                     // The entry has just connected; an echo at once makes it fresh.
                     self.beat(now, key);
@@ -130,6 +140,22 @@
         }
     }
 
+    /// Tells the granter at once of adapters that it does not know are wanted.
+    pub(super) fn tell_granter(&mut self, now: Instant) {
+        let wants = self.residency.wants(now);
+        let wanted: HashSet<AdapterRef> = wants.into_iter().map(|want| want.adapter).collect();
+        let is_new = !wanted.is_subset(&self.told_wants);
+        self.told_wants = wanted;
+        if !is_new {
+            return;
+        }
+        let granters = self.links.iter().filter(|(_, link)| link.granter);
+        let granters: Vec<LinkKey> = granters.map(|(key, _)| key).collect();
+        for key in granters {
+            self.beat(now, key);
+        }
+    }
+
     fn beat(&mut self, now: Instant, key: LinkKey) {
         let Some(peer) = self.links.get(key).map(|link| link.peer) else {
             return;
@@ -169,6 +195,28 @@
             }
         }
         self.apply_stops(now);
+        self.preload_changed();
         self.beat_all(now);
     }
+
+    /// Loads new versions of adapters that are in use here ahead of requests.
+    fn preload_changed(&mut self) {
+        let catalogue = self.replica.catalogue();
+        let in_force = |name: &str| catalogue.resolve(name, None).ok();
+        let upstreams = self.residency.upstreams();
+        let resident = upstreams.flat_map(|(_, upstream)| upstream.residents.keys());
+        let changed: Vec<(AdapterRef, Box<str>)> = resident
+            .filter_map(|adapter| {
+                let spec = in_force(&adapter.name)?;
+                let newer = spec.version != adapter.version;
+                newer.then(|| (spec.adapter_ref(), spec.base_model.clone()))
+            })
+            .collect();
+        for (adapter, base_model) in changed {
+            self.residency.preload(adapter, &base_model);
+        }
+        self.residency.retain_preloads(|adapter| {
+            in_force(&adapter.name).is_some_and(|spec| spec.version == adapter.version)
+        });
+    }
 }
--- a/crates/dogwoodshunt_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_agent/src/control/mod.rs
@@ -38,6 +38,7 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -163,6 +164,7 @@
     epoch: Epoch,
     stopping: bool,
     planned_stop: bool,
+    told_wants: HashSet<AdapterRef>,
 }
 
 impl Control {
@@ -186,6 +188,7 @@
             epoch: 0,
             stopping: false,
             planned_stop: false,
+            told_wants: HashSet::new(),
         };
         for upstream in &settings.upstreams {
             control.add_upstream(now, upstream, settings.order_timeout_ms);
@@ -258,6 +261,7 @@
         let gate = requests::CatalogueGate::new(&self.replica, now);
         let actions = self.residency.plan(now, &gate);
         self.carry_out(now, actions);
+        self.tell_granter(now);
     }
 
     fn carry_out(&mut self, now: Instant, actions: Vec<Action>) {
--- a/crates/dogwoodshunt_catalogue/src/catalogue.rs
+++ b/crates/dogwoodshunt_catalogue/src/catalogue.rs
@@ -63,6 +63,9 @@
 pub struct Adapter {
     /// Version that the bare name stands for; `None` once withdrawn whole.
     pub in_force: Option<Version>,
+    /// Version that the bare name stood for before, while it may be named.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub previous: Option<Version>,
     /// Versions that may be named, oldest first.
     pub versions: Vec<AdapterSpec>,
     /// Versions that were withdrawn, oldest first.
@@ -80,6 +83,9 @@
 
     fn retire(&mut self, version: &str) {
         self.versions.retain(|spec| *spec.version != *version);
+        if self.previous.as_deref() == Some(version) {
+            self.previous = None;
+        }
         self.retired.push(version.into());
         if self.retired.len() > MAX_RETIRED {
             self.retired.remove(0);
@@ -176,6 +182,12 @@
         }
     }
 
+    /// Returns the version that the bare name `name` stood for before, if it may be named.
+    pub fn previous(&self, name: &str) -> Option<&AdapterSpec> {
+        let adapter = self.adapters.get(name)?;
+        adapter.version(adapter.previous.as_deref()?)
+    }
+
     /// Returns the recent entry with id `id`, if it is still in memory.
     pub fn recent_by_id(&self, id: &str) -> Option<&LogEntry> {
         self.recent.iter().find(|entry| *entry.id == *id)
@@ -264,7 +276,7 @@
         for spec in note.added.iter().chain(&note.changed) {
             let adapter = self.adapters.entry(spec.adapter.clone()).or_default();
             adapter.versions.push(spec.clone());
-            adapter.in_force = Some(spec.version.clone());
+            adapter.previous = adapter.in_force.replace(spec.version.clone());
         }
         for withdrawal in &note.withdrawn {
             let Some(adapter) = self.adapters.get_mut(&withdrawal.adapter) else {
--- a/crates/dogwoodshunt_catalogue/src/tests.rs
+++ b/crates/dogwoodshunt_catalogue/src/tests.rs
@@ -89,6 +89,20 @@
     assert_eq!(catalogue.problems_with(&again).len(), 1);
 }
 
+#[test]
+fn previous_version_is_gone_once_it_is_withdrawn() {
+    let mut catalogue = roast_at_2();
+    let previous = catalogue.previous("roast").map(|spec| spec.version.clone());
+    assert_eq!(previous.as_deref(), Some("1"));
+    let mut third = note("third", 2);
+    third.changed = vec![spec("roast", "3")];
+    third.withdrawn = vec![withdrawal("roast", Some("2"))];
+    catalogue.apply(&entry(3, third)).unwrap();
+    // Version 1 may still be named, but the bare name never goes back to it.
+    assert_eq!(catalogue.previous("roast"), None);
+    assert!(catalogue.resolve("roast", Some("1")).is_ok());
+}
+
 #[test]
 fn every_problem_is_named_at_its_place() {
     let mut bad = note("b d", 2);
--- a/crates/dogwoodshunt_entry/src/control/agents.rs
+++ b/crates/dogwoodshunt_entry/src/control/agents.rs
@@ -27,6 +27,7 @@
 
     pub(super) fn on_agent_down(&mut self, agent: AgentKey) {
         self.router.set_usable(agent, false);
+        self.granter.on_agent_down(agent);
         let process = self.agents.get_mut(&agent);
         if let Some(peer) = process.and_then(|process| process.peer.take()) {
             self.replica.remove_peer(peer);
@@ -83,6 +84,7 @@
             process.epoch = beat.epoch;
         }
         if let Some(report) = beat.report {
+            self.granter.on_report(now, agent, &report);
             self.router.on_report(now, agent, report);
         }
         self.router.set_usable(agent, beat.fresh);
@@ -122,6 +124,7 @@
         if let Some(beat) = self.replica.beat(now, peer) {
             let beat = Beat {
                 leaving: self.is_leaving(),
+                granter: self.granting,
                 ..beat
             };
             self.send(agent, Frame::Beat(Box::new(beat)));
--- a/crates/dogwoodshunt_entry/src/control/duties.rs
+++ b/crates/dogwoodshunt_entry/src/control/duties.rs
@@ -1,4 +1,4 @@
-//! What one entry does on behalf of all: watching, compacting, witnesses.
+//! What one entry does on behalf of all: watching, compacting, witnesses, loads.
 //!
 //! Who does it is found by rendezvous hashing over the entries that a node
 //! sees live. Two entries that see different ones may both do a duty for a
@@ -6,6 +6,7 @@
 
 use crate::control::Control;
 use dogwoodshunt_types::rendezvous;
+use dogwoodshunt_wire::Frame;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,13 +20,17 @@
 /// Key by which the entry with the fleet-wide duties is found.
 const KEEPER: &str = "keeper";
 
+/// Key by which the entry that decides on loads is found.
+const GRANTER: &str = "granter";
+
 impl Control {
     pub(super) fn do_duties(&mut self, now: Instant) {
         let watching = self.is_watcher(now);
-        let keeping = self.is_keeper(now);
+        let keeping = self.is_first(now, KEEPER);
         let watcher = &self.around.watcher;
         watcher.watching.store(watching, Ordering::Release);
         watcher.compacting.store(keeping, Ordering::Release);
+        self.granting = self.is_first(now, GRANTER);
         if !keeping || !self.replica.is_fresh(now) {
             return;
         }
@@ -44,10 +49,25 @@
         watchers.contains(&me.node.as_ref())
     }
 
-    fn is_keeper(&self, now: Instant) -> bool {
+    /// Says which loads come next, if that is this entry's duty.
+    pub(super) fn grant_loads(&mut self, now: Instant) {
+        if !self.granting {
+            return;
+        }
+        for grant in self.granter.decide(now) {
+            let frame = Frame::Grant {
+                adapter: grant.adapter,
+                valid_for: grant.valid_for,
+            };
+            self.send(grant.agent, frame);
+        }
+    }
+
+    /// Returns whether this entry is the first for `duty`.
+    fn is_first(&self, now: Instant, duty: &str) -> bool {
         let entries = self.replica.live_entries(now);
         let names = entries.iter().map(|entry| entry.node.as_ref());
-        let keeper = rendezvous::pick(KEEPER, names, 1);
-        keeper == [self.replica.me().node.as_ref()]
+        let first = rendezvous::pick(duty, names, 1);
+        first == [self.replica.me().node.as_ref()]
     }
 }
--- a/crates/dogwoodshunt_entry/src/control/mod.rs
+++ b/crates/dogwoodshunt_entry/src/control/mod.rs
@@ -1,13 +1,15 @@
 //! Control state of an entry, on a thread of its own.
 //!
 //! Everything that happens arrives as an [`Event`]. `agents` deals with
-//! connections and heartbeats, `placing` with requests, `duties` with what
-//! one entry does for the others, `inquiry` with operators' questions.
+//! connections and heartbeats, `placing` with requests, `switching` with new
+//! versions, `duties` with what one entry does for the others, `inquiry` with
+//! operators' questions.
 
 mod agents;
 mod duties;
 mod inquiry;
 mod placing;
+mod switching;
 
 pub use crate::control::inquiry::Inquiry;
 pub use crate::control::placing::Declined;
@@ -15,6 +17,7 @@
 pub use crate::control::placing::Placement;
 pub use crate::control::placing::Wanted;
 
+use crate::control::switching::Switch;
 use crate::platform::WatcherOrders;
 use crate::port::Port;
 use async_channel::Receiver;
@@ -22,6 +25,7 @@
 use dogwoodshunt_catalogue::Catalogue;
 use dogwoodshunt_catalogue::Change;
 use dogwoodshunt_catalogue::LogEntry;
+use dogwoodshunt_grants::Granter;
 use dogwoodshunt_replica::PeerKey;
 use dogwoodshunt_replica::Replica;
 use dogwoodshunt_residency::Target;
@@ -30,6 +34,7 @@
 use dogwoodshunt_routing::retry::Failure;
 use dogwoodshunt_routing::retry::Tried;
 use dogwoodshunt_routing::retry::Verdict;
+use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::Revision;
 use dogwoodshunt_wire::Frame;
@@ -145,8 +150,13 @@
     around: Surroundings,
     replica: Replica,
     router: Router,
+    granter: Granter<AgentKey>,
+    granting: bool,
     agents: HashMap<AgentKey, AgentProcess>,
     hosts_leaving: BTreeSet<Box<str>>,
+    switching: HashMap<AdapterName, Switch>,
+    as_of: Option<Instant>,
+    seen: Revision,
     heartbeat: Duration,
     beat_due: Instant,
     duty_due: Instant,
@@ -169,8 +179,13 @@
             around,
             replica,
             router,
+            granter: Granter::new(dogwoodshunt_grants::Settings::default()),
+            granting: false,
             agents,
             hosts_leaving: BTreeSet::new(),
+            switching: HashMap::new(),
+            as_of: None,
+            seen: 0,
             heartbeat,
             beat_due: now,
             duty_due: now,
@@ -246,10 +261,13 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        self.as_of = self.replica.fresh_as_of(now);
+        self.end_switches(now);
         if self.beat_due <= now {
             self.beat_due = now + self.heartbeat;
             self.beat_all(now);
         }
+        self.grant_loads(now);
         if self.duty_due <= now {
             self.duty_due = now + duties::DUTY_INTERVAL;
             self.do_duties(now);
@@ -267,6 +285,8 @@
         let revision = self.replica.catalogue().revision();
         info!(self.around.log, "catalogue"; "revision" => revision);
         self.around.watcher.held.store(revision, Ordering::Release);
+        self.begin_switches(self.seen);
+        self.seen = revision;
         for (peer, frame) in self.replica.spread() {
             self.send_to_peer(peer, frame);
         }
--- a/crates/dogwoodshunt_entry/src/control/placing.rs
+++ b/crates/dogwoodshunt_entry/src/control/placing.rs
@@ -78,7 +78,7 @@
             let not_run = NotRun::new(NotRunReason::Leaving, STALE_RETRY);
             return Err(Declined::NotRun(not_run));
         }
-        let target = self.resolve(&ask.wanted).map_err(Declined::Missing)?;
+        let target = self.resolve(now, &ask.wanted).map_err(Declined::Missing)?;
         if ask.excluded.is_empty() {
             self.router.on_request();
         }
@@ -108,11 +108,18 @@
         })
     }
 
-    fn resolve(&self, wanted: &Wanted) -> Result<Target, Missing> {
+    fn resolve(&self, now: Instant, wanted: &Wanted) -> Result<Target, Missing> {
         match wanted {
             Wanted::Adapter { name, version } => {
                 let catalogue = self.replica.catalogue();
-                let spec = catalogue.resolve(name, version.as_deref())?;
+                let before = match version {
+                    Some(_) => None,
+                    None => self.version_before(now, name),
+                };
+                let spec = match before {
+                    Some(spec) => spec,
+                    None => catalogue.resolve(name, version.as_deref())?,
+                };
                 Ok(Target::Adapter {
                     adapter: spec.adapter_ref(),
                     base_model: spec.base_model.clone(),
--- a/crates/dogwoodshunt_freshness/src/freshness.rs
+++ b/crates/dogwoodshunt_freshness/src/freshness.rs
@@ -188,16 +188,23 @@
 
     /// Returns whether the catalogue may be trusted at `now`.
     pub fn is_fresh(&self, now: Instant) -> bool {
-        let recent = |at: Instant| now.saturating_duration_since(at) < self.limit;
-        if self.service.is_some_and(recent) {
-            return true;
-        }
-        let heard = self
-            .witnesses
-            .iter()
-            .filter(|heard| heard.witness == self.me || heard.at.is_some_and(recent))
-            .count();
-        heard * 2 > self.witnesses.len()
+        let as_of = self.fresh_as_of(now);
+        as_of.is_some_and(|at| now.saturating_duration_since(at) < self.limit)
+    }
+
+    /// Returns the moment up to which this node has heard of everything accepted.
+    pub fn fresh_as_of(&self, now: Instant) -> Option<Instant> {
+        let heard = |heard: &Heard| {
+            if heard.witness == self.me {
+                Some(now)
+            } else {
+                heard.at
+            }
+        };
+        let mut heard: Vec<Option<Instant>> = self.witnesses.iter().map(heard).collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        let majority = heard.get(self.witnesses.len() / 2).copied().flatten();
+        majority.max(self.service)
     }
 
     /// Returns whether `revision` is accepted.
--- a/crates/dogwoodshunt_replica/src/replica.rs
+++ b/crates/dogwoodshunt_replica/src/replica.rs
@@ -66,6 +66,11 @@
         self.freshness.is_fresh(now)
     }
 
+    /// Returns the moment up to which this node has heard of everything accepted.
+    pub fn fresh_as_of(&self, now: Instant) -> Option<Instant> {
+        self.freshness.fresh_as_of(now)
+    }
+
     /// Adds a peer whose connection has opened.
     pub fn add_peer(&mut self, identity: Identity) -> PeerKey {
         self.freshness.on_boot(&identity.node, identity.boot);
--- a/crates/dogwoodshunt_residency/src/budget.rs
+++ b/crates/dogwoodshunt_residency/src/budget.rs
@@ -49,24 +49,30 @@
             .is_some_and(|seen| now.saturating_duration_since(seen) < self.granter_timeout)
     }
 
+    /// Returns whether [`LoadBudget::take`] would succeed.
+    pub fn allows(&mut self, now: Instant, adapter: &AdapterRef) -> bool {
+        let granted = self.grants.get(adapter).is_some_and(|until| *until > now);
+        granted || (!self.has_granter(now) && self.refill(now) >= 1.0)
+    }
+
     /// Takes the permission to load `adapter`, if there is one.
     pub fn take(&mut self, now: Instant, adapter: &AdapterRef) -> bool {
         self.grants.retain(|_, until| *until > now);
         if self.grants.remove(adapter).is_some() {
             return true;
         }
-        !self.has_granter(now) && self.take_share(now)
+        if self.has_granter(now) || self.refill(now) < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
     }
 
-    fn take_share(&mut self, now: Instant) -> bool {
+    fn refill(&mut self, now: Instant) -> f64 {
         let since = self.refilled.unwrap_or(now);
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
         self.refilled = Some(now);
         self.tokens = (self.tokens + elapsed * self.share_per_second).min(SHARE_BURST);
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+        self.tokens
     }
 }
--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -177,6 +177,9 @@
                 self.retire_for(now, &adapter, &base_model, waited);
                 continue;
             };
+            if !self.budget.allows(now, &adapter) {
+                continue;
+            }
             if !self.upstreams[key].has_slot() {
                 let victim = self.victim(now, key);
                 actions.extend(victim.and_then(|victim| self.unload(key, victim)));
@@ -189,7 +192,7 @@
             self.upstreams[key]
                 .residents
                 .insert(adapter.clone(), loading);
-            self.preloads.remove(&(adapter.clone(), base_model));
+            self.preloads.remove(&adapter);
             actions.push(Action::Load {
                 upstream: key,
                 adapter,
@@ -197,7 +200,7 @@
         }
     }
 
-    /// Returns the adapters to load, the costliest wait first, then preloads.
+    /// Returns the adapters to load, the costliest wait first.
     fn load_order(&self, now: Instant) -> Vec<(AdapterRef, Box<str>, Duration)> {
         let mut order: Vec<(AdapterRef, Box<str>, Duration)> = Vec::new();
         for want in self.wants(now) {
@@ -205,15 +208,15 @@
                 order.push((want.adapter, base_model, want.oldest));
             }
         }
-        for (adapter, base_model) in &self.preloads {
-            if !self.is_resident_anywhere(adapter) {
-                order.push((adapter.clone(), base_model.clone(), Duration::ZERO));
-            }
-        }
         order
     }
 
     fn base_model_of(&self, wanted: &AdapterRef) -> Option<Box<str>> {
+        let preload = self.preloads.get(wanted).cloned();
+        preload.or_else(|| self.queued_base_model_of(wanted))
+    }
+
+    fn queued_base_model_of(&self, wanted: &AdapterRef) -> Option<Box<str>> {
         self.queue.iter().find_map(|key| match &self.jobs[*key] {
             AnyJob::Queued(job) => match &job.target {
                 Target::Adapter {
@@ -264,7 +267,7 @@
         by_popularity.then(by_use).then_with(|| a.0.cmp(b.0))
     }
 
-    fn is_waited_for(&self, adapter: &AdapterRef) -> bool {
+    pub(crate) fn is_waited_for(&self, adapter: &AdapterRef) -> bool {
         self.queue.iter().any(|key| match &self.jobs[*key] {
             AnyJob::Queued(job) => job.target.adapter() == Some(adapter),
             AnyJob::Running(_) => false,
--- a/crates/dogwoodshunt_residency/src/popularity.rs
+++ b/crates/dogwoodshunt_residency/src/popularity.rs
@@ -44,6 +44,12 @@
             .map_or(0.0, |count| self.decayed(now, *count))
     }
 
+    /// Returns all decayed counts.
+    pub fn iter(&self, now: Instant) -> impl Iterator<Item = (&AdapterRef, f64)> {
+        let counts = self.counts.iter();
+        counts.map(move |(adapter, count)| (adapter, self.decayed(now, *count)))
+    }
+
     /// Forgets adapters that have fallen idle.
     pub fn prune(&mut self, now: Instant) {
         let idle: Vec<AdapterRef> = self
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -131,6 +131,7 @@
             want.priority = want.priority.max(job.priority);
         }
         let mut wants: Vec<LoadWant> = wants.into_values().collect();
+        wants.extend(self.preload_wants(now));
         wants.sort_by(|a, b| {
             let costs = b.cost().total_cmp(&a.cost());
             costs.then_with(|| a.adapter.cmp(&b.adapter))
@@ -140,6 +141,21 @@
     }
 }
 
+impl Residency {
+    /// Returns preloads as wants of as many requests as are expected soon.
+    fn preload_wants(&self, now: Instant) -> impl Iterator<Item = LoadWant> {
+        let preloads = self.preloads.keys();
+        let missing = preloads
+            .filter(|adapter| !self.is_resident_anywhere(adapter) && !self.is_waited_for(adapter));
+        missing.map(move |adapter| LoadWant {
+            adapter: adapter.clone(),
+            waiting: to_u32(self.expected_requests(now, &adapter.name)),
+            oldest: Duration::ZERO,
+            priority: Priority::Normal,
+        })
+    }
+}
+
 impl LoadWant {
     /// Returns the cost of waiting longer, in requests times seconds.
     pub fn cost(&self) -> f64 {
--- a/crates/dogwoodshunt_residency/src/residency.rs
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -27,7 +27,7 @@
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
 use slotmap::SlotMap;
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -68,7 +68,7 @@
     pub(crate) queue: Vec<JobKey>,
     pub(crate) budget: LoadBudget,
     pub(crate) popularity: Popularity,
-    pub(crate) preloads: HashSet<(AdapterRef, Box<str>)>,
+    pub(crate) preloads: HashMap<AdapterRef, Box<str>>,
     leaving: bool,
     mean_run: Duration,
 }
@@ -85,7 +85,7 @@
             queue: Vec::new(),
             budget,
             popularity,
-            preloads: HashSet::new(),
+            preloads: HashMap::new(),
             leaving: false,
             mean_run: Duration::from_millis(500),
         }
@@ -306,10 +306,22 @@
     /// Asks for `adapter` to be loaded before requests wait for it.
     pub fn preload(&mut self, adapter: AdapterRef, base_model: &str) {
         if !self.is_resident_anywhere(&adapter) {
-            self.preloads.insert((adapter, base_model.into()));
+            self.preloads.insert(adapter, base_model.into());
         }
     }
 
+    /// Gives up preloads of adapters that `keep` does not name.
+    pub fn retain_preloads(&mut self, keep: impl Fn(&AdapterRef) -> bool) {
+        self.preloads.retain(|adapter, _| keep(adapter));
+    }
+
+    /// Returns the requests expected for `name` soon, by those for its ready versions.
+    pub(crate) fn expected_requests(&self, now: Instant, name: &str) -> usize {
+        let counts = self.popularity.iter(now);
+        let versions = counts.filter(|(adapter, _)| *adapter.name == *name);
+        versions.map(|(_, count)| count).sum::<f64>().ceil() as usize
+    }
+
     /// Refuses a queued job; a job in any other state is left alone.
     pub(crate) fn refuse(&mut self, key: JobKey, not_run: NotRun) -> Option<Action> {
         let Some(AnyJob::Queued(_)) = self.jobs.get(key) else {
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -211,6 +211,8 @@
     pub fresh: bool,
     /// Whether the sender is leaving.
     pub leaving: bool,
+    /// Whether the sending entry decides which loads come next.
+    pub granter: bool,
     /// Whether the sender runs no request.
     pub empty: bool,
     /// Fencing number of the sending agent; 0 from an entry.
