Test the guards that no failing test stood behind

Cause: with the guards taken out one by one, three mutations passed the suite: parts of an answer used twice, a stream that ends cleanly before its last event, and a resumed request that has already ended.

Ruled out: that the guards are superfluous; each is reached by a fault that the process tests do not hit reliably.

Change: unit tests of the parts of an answer, of the agent's answer buffer and of resumption, and a stand-in fault that ends streams early. Settings and release notes of both deployments stand in examples/ and are tested. A change of witnesses no longer makes an operator's note refused as not newest (found while writing docs/OPERATING.md; test change_of_witnesses_does_not_hold_up_a_note).

--- a/crates/dogwoodshunt_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_agent/src/control/mod.rs
@@ -7,6 +7,8 @@
 
 mod links;
 mod requests;
+#[cfg(test)]
+mod tests;
 mod upstreams;
 
 use crate::control::links::LinkState;
--- a/crates/dogwoodshunt_catalogue/src/conflict.rs
+++ b/crates/dogwoodshunt_catalogue/src/conflict.rs
@@ -17,7 +17,7 @@
 pub enum Rebase {
     /// Moves the note where no later note touches its adapters.
     Allowed,
-    /// Refuses a note that is not based on the newest revision.
+    /// Refuses a note that is not based on the operators' newest change.
     #[default]
     Forbidden,
 }
@@ -92,9 +92,11 @@
 ///
 /// Returns the first of: a conflict, a missing rebase, problems of the note.
 pub fn admit(catalogue: &Catalogue, note: &ReleaseNote, rebase: Rebase) -> Result<(), Refusal> {
-    check_conflict(catalogue, note)?;
+    let later = later_entries(catalogue, note)?;
+    check_conflict(&later, note)?;
     let newest = catalogue.revision();
-    if note.based_on != newest && rebase == Rebase::Forbidden {
+    let moved = later.iter().any(|entry| entry.change.is_operators());
+    if moved && rebase == Rebase::Forbidden {
         return Err(Refusal::NotNewest {
             based_on: note.based_on,
             newest,
@@ -107,19 +109,22 @@
     Err(Refusal::Invalid { problems })
 }
 
-fn check_conflict(catalogue: &Catalogue, note: &ReleaseNote) -> Result<(), Refusal> {
+/// Returns the entries that the author of `note` has not seen.
+fn later_entries(catalogue: &Catalogue, note: &ReleaseNote) -> Result<Vec<LogEntry>, Refusal> {
     let newest = catalogue.revision();
     if note.based_on > newest {
         let message = format!("revision {} does not exist yet", note.based_on);
         let problems = vec![Problem::new("based_on", message)];
         return Err(Refusal::Invalid { problems });
     }
-    let Some(later) = catalogue.entries_after(note.based_on) else {
-        return Err(Refusal::TooOld {
-            based_on: note.based_on,
-            newest,
-        });
-    };
+    let later = catalogue.entries_after(note.based_on);
+    later.ok_or(Refusal::TooOld {
+        based_on: note.based_on,
+        newest,
+    })
+}
+
+fn check_conflict(later: &[LogEntry], note: &ReleaseNote) -> Result<(), Refusal> {
     match later.iter().find_map(|entry| overlap(entry, note)) {
         Some(refusal) => Err(refusal),
         None => Ok(()),
--- a/crates/dogwoodshunt_catalogue/src/log.rs
+++ b/crates/dogwoodshunt_catalogue/src/log.rs
@@ -32,6 +32,16 @@
     },
 }
 
+impl Change {
+    /// Returns whether operators make such changes; the fleet makes the others.
+    pub fn is_operators(&self) -> bool {
+        match self {
+            Self::CancelStop { .. } | Self::PlanStop { .. } | Self::Release(_) => true,
+            Self::SettleWitnesses | Self::Witnesses { .. } => false,
+        }
+    }
+}
+
 /// One entry of the log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LogEntry {
--- a/crates/dogwoodshunt_catalogue/src/tests.rs
+++ b/crates/dogwoodshunt_catalogue/src/tests.rs
@@ -147,6 +147,21 @@
     assert_eq!(conflict::admit(&roast_at_2(), &other, rebase).is_ok(), ok);
 }
 
+#[test]
+fn change_of_witnesses_does_not_hold_up_a_note() {
+    let mut catalogue = roast_at_2();
+    let witnesses = LogEntry {
+        change: Change::Witnesses {
+            nodes: vec!["n#1".into()],
+        },
+        ..entry(3, note("w", 2))
+    };
+    catalogue.apply(&witnesses).unwrap();
+    let mut third = note("third", 2);
+    third.changed = vec![spec("roast", "3")];
+    assert!(conflict::admit(&catalogue, &third, Rebase::Forbidden).is_ok());
+}
+
 #[test]
 fn revision_never_reverts() {
     let mut catalogue = roast_at_2();
--- a/crates/dogwoodshunt_entry/src/api/attempts.rs
+++ b/crates/dogwoodshunt_entry/src/api/attempts.rs
@@ -3,6 +3,8 @@
 use crate::api::answer;
 use crate::api::answer::GaveUp;
 use crate::api::claims;
+use crate::api::parts::Part;
+use crate::api::parts::Parts;
 use crate::api::request::CallerRequest;
 use crate::api::request::Delivery;
 use crate::control::Declined;
@@ -29,8 +31,6 @@
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::Outcome;
 use dogwoodshunt_types::RequestId;
-use dogwoodshunt_types::invariant;
-use dogwoodshunt_types::invariant::Invariant;
 use dogwoodshunt_wire::frame::AnswerHead;
 use dogwoodshunt_wire::frame::Submit;
 use hyper::Response;
@@ -270,7 +270,7 @@
                             // The caller has gone; dropping cancels the attempt.
                             break;
                         }
-                        in_flight.ack(parts.next);
+                        in_flight.ack(parts.next());
                     }
                     Part::Nothing => {}
                     Part::End => break,
@@ -325,7 +325,7 @@
         if whole.len() > MAX_WHOLE_BYTES {
             break "the answer is over the limit".into();
         }
-        in_flight.ack(parts.next);
+        in_flight.ack(parts.next());
     };
     Err(Failed {
         agent,
@@ -334,53 +334,6 @@
     })
 }
 
-/// What an [`Answer`] adds to a body.
-enum Part {
-    Broken(Box<str>),
-    Bytes(Bytes),
-    End,
-    Nothing,
-}
-
-/// Puts the parts of one answer in order and finds gaps.
-#[derive(Default)]
-struct Parts {
-    next: u64,
-}
-
-impl Parts {
-    fn take(&mut self, answer: Answer) -> Part {
-        match answer {
-            Answer::Chunk { number, .. } if number < self.next => Part::Nothing,
-            Answer::Chunk { number, data } => {
-                if !self.in_order(number) {
-                    return Part::Broken("a part of the answer is missing".into());
-                }
-                self.next += 1;
-                Part::Bytes(data)
-            }
-            Answer::End { chunks } => {
-                if !self.in_order(chunks) {
-                    return Part::Broken("the end of the answer is missing".into());
-                }
-                Part::End
-            }
-            Answer::Failed { message, .. } => Part::Broken(message),
-            Answer::Head(_) => Part::Nothing,
-            Answer::Lost => Part::Broken("the connection to the agent was lost".into()),
-            Answer::NotRun(_) => Part::Broken("the agent lost track of the run".into()),
-        }
-    }
-
-    fn in_order(&self, number: u64) -> bool {
-        invariant::check(
-            Invariant::WholeAnswerToItsCaller,
-            number == self.next,
-            &format_args!("part {number} follows part {}", self.next),
-        )
-    }
-}
-
 /// Keeps of two failures the one that leaves less known.
 fn worse(failed: Failed, before: Option<Failed>) -> Failed {
     match before {
--- a/crates/dogwoodshunt_entry/src/api/mod.rs
+++ b/crates/dogwoodshunt_entry/src/api/mod.rs
@@ -1,11 +1,13 @@
 //! The callers' HTTP interface.
 //!
 //! [`request`] reads what a caller asks for, [`attempts`] gets it run,
+//! `parts` puts answers together,
 //! [`claims`] sees to idempotency keys and [`answer`] writes what comes back.
 
 pub mod answer;
 pub mod attempts;
 pub mod claims;
+pub(crate) mod parts;
 pub mod request;
 
 use crate::api::answer::GaveUp;
--- /dev/null
+++ b/crates/dogwoodshunt_local/src/tests/examples.rs
@@ -0,0 +1,78 @@
+//! The example settings and release notes are good.
+
+use dogwoodshunt_agent::AgentSettings;
+use dogwoodshunt_catalogue::ReleaseNote;
+use dogwoodshunt_entry::EntrySettings;
+use dogwoodshunt_runtime::settings;
+use rstest::rstest;
+use std::path::Path;
+use std::path::PathBuf;
+
+fn files(dir: &str) -> Vec<PathBuf> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+    let entries = std::fs::read_dir(root.join(dir)).unwrap();
+    let mut files: Vec<PathBuf> = entries.map(|entry| entry.unwrap().path()).collect();
+    files.sort();
+    assert!(!files.is_empty());
+    files
+}
+
+#[rstest]
+#[case("inyange")]
+#[case("nile-rail")]
+#[case("small")]
+fn example_settings_are_good(#[case] dir: &str) {
+    for file in files(dir) {
+        let name = file.file_name().unwrap().to_string_lossy().into_owned();
+        if name.starts_with("entry") {
+            settings::read::<EntrySettings>(&file).map(drop).unwrap();
+        } else {
+            settings::read::<AgentSettings>(&file).map(drop).unwrap();
+        }
+    }
+}
+
+#[test]
+fn example_notes_are_good() {
+    for file in files("releases") {
+        let text = std::fs::read_to_string(&file).unwrap();
+        let note: ReleaseNote = settings::parse_unchecked("example", &text).unwrap();
+        assert_eq!(note.problems(), []);
+    }
+}
+
+#[rstest]
+#[case("\"heartbeat_ms\": 5", "heartbeat_ms", "use 20 to 1000")]
+#[case("\"agents\": []", "agents", "list the addresses")]
+#[case("\"shared_key\": \"sesame\"", "shared_key", "at least 16")]
+#[case("\"surprise\": 1", "surprise", "unknown field")]
+fn bad_settings_are_refused_with_the_field_and_the_fix(
+    #[case] field: &str,
+    #[case] name: &str,
+    #[case] fix: &str,
+) {
+    let mut lines = vec![
+        "{\"node\": {\"name\": \"e\", \"failure_domain\": \"d\"},",
+        "\"listen_callers\": \"127.0.0.1:1\", \"listen_operators\": \"127.0.0.1:2\",",
+        "\"key_value_service\": \"127.0.0.1:3\",",
+    ];
+    if !field.starts_with("\"shared_key") {
+        lines.push("\"shared_key\": \"0123456789abcdef\",");
+    }
+    if !field.starts_with("\"agents") {
+        lines.push("\"agents\": [\"127.0.0.1:4\"],");
+    }
+    let text = format!("{}\n{field}}}", lines.join("\n"));
+    let error = settings::parse::<EntrySettings>("entry.json", &text)
+        .err()
+        .unwrap();
+    let message = error.to_string();
+    let line = format!("entry.json:{}", lines.len() + 1);
+    for part in [name, fix, &line] {
+        assert!(message.contains(part), "{message}");
+    }
+    assert!(
+        !message.contains("sesame"),
+        "the key must not be shown: {message}"
+    );
+}
--- a/crates/dogwoodshunt_proof/tests/upstreams.rs
+++ b/crates/dogwoodshunt_proof/tests/upstreams.rs
@@ -69,6 +69,28 @@
     });
 }
 
+#[test]
+fn stream_that_ends_before_its_last_event_is_broken_off() {
+    smol::block_on(async {
+        let shape = Shape {
+            agents: 1,
+            entries: 1,
+            ..Shape::default()
+        };
+        let cluster = Cluster::start(&shape).await.unwrap();
+        cluster.add_adapters("n1", &["roast"], "1").await;
+        let cut = json!({"end_streams_after": 2});
+        let told = cluster.post_standin(cluster.agents[0].engine, "/standin/faults", &cut);
+        told.await.unwrap();
+        let question = Question {
+            stream: true,
+            ..Question::adapter("t1", "roast")
+        };
+        let told = cluster.caller(0).ask(&question).await;
+        assert_eq!(told, Told::BrokenOff);
+    });
+}
+
 #[test]
 fn failing_load_is_refused_and_not_hammered() {
     smol::block_on(async {
--- a/crates/dogwoodshunt_standins/src/engine/handler.rs
+++ b/crates/dogwoodshunt_standins/src/engine/handler.rs
@@ -209,6 +209,7 @@
         let (tx, rx) = async_channel::bounded(STREAM_QUEUE);
         let engine = self.clone();
         let token_time = self.with_state(|state| state.shape().token_time);
+        let cut_after = self.with_state(|state| state.end_streams_after());
         let generate = async move {
             let start = Instant::now();
             for index in 0..query.tokens() {
@@ -218,6 +219,9 @@
                     let _ = tx.send(Err(BrokenOff { reason })).await;
                     return;
                 }
+                if cut_after.is_some_and(|tokens| index >= tokens) {
+                    return;
+                }
                 let text = answer::token(query.prompt(), index);
                 let event = answer::event(is_chat, &named, &text);
                 if tx.send(Ok(Bytes::from(event))).await.is_err() {
--- a/crates/dogwoodshunt_standins/src/engine/state.rs
+++ b/crates/dogwoodshunt_standins/src/engine/state.rs
@@ -68,6 +68,7 @@
     highest_epoch: u64,
     fail_loads: u32,
     answer_as_version: Option<String>,
+    end_streams_after: Option<u32>,
     stats: Stats,
     counted_until: Instant,
 }
@@ -84,6 +85,7 @@
             highest_epoch: 0,
             fail_loads: 0,
             answer_as_version: None,
+            end_streams_after: None,
             stats: Stats::default(),
             counted_until: now,
         }
@@ -117,6 +119,9 @@
         if let Some(version) = &faults.answer_as_version {
             self.answer_as_version = Some(version.clone()).filter(|text| !text.is_empty());
         }
+        if let Some(tokens) = faults.end_streams_after {
+            self.end_streams_after = Some(tokens).filter(|tokens| *tokens > 0);
+        }
         if faults.restart {
             self.count(now);
             self.boot = new_boot;
@@ -186,6 +191,11 @@
         Ok(())
     }
 
+    /// Returns after how many tokens a stream ends without its last event.
+    pub fn end_streams_after(&self) -> Option<u32> {
+        self.end_streams_after
+    }
+
     /// Returns whether `model` can run: the base model or a loaded adapter.
     pub fn holds(&self, model: &str) -> bool {
         *model == *self.shape.base_model || self.loaded.contains(model)
--- a/crates/dogwoodshunt_standins/src/faults.rs
+++ b/crates/dogwoodshunt_standins/src/faults.rs
@@ -16,6 +16,9 @@
     /// Whether to restart empty now, breaking off what runs.
     #[serde(default)]
     pub restart: bool,
+    /// Tokens after which streams end without their last event; 0 lifts the fault.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub end_streams_after: Option<u32>,
     /// Version that every adapter answers with; an empty text lifts the fault.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub answer_as_version: Option<String>,
