Test each retry, route and switch decision, and a call in flight at a kill

Cause: with the guard taken out, the suite passed a retry of a call that may not be repeated and an entry that serves while stale.

Ruled out: that other guards make these superfluous.

--- a/crates/dogwoodshunt_proof/tests/kills.rs
+++ b/crates/dogwoodshunt_proof/tests/kills.rs
@@ -6,6 +6,7 @@
 use dogwoodshunt_proof::Load;
 use dogwoodshunt_proof::Shape;
 use dogwoodshunt_proof::Tally;
+use dogwoodshunt_proof::caller::Question;
 use dogwoodshunt_proof::load::Mix;
 use dogwoodshunt_proof::relay::Mode;
 use rstest::rstest;
@@ -66,6 +67,59 @@
     }
 }
 
+/// Waits until the engines have started as many runs.
+async fn wait_started(cluster: &Cluster, runs: u64) {
+    loop {
+        let mut started = 0;
+        for host in &cluster.agents {
+            let stats = cluster
+                .get_standin(host.engine, "/standin/stats")
+                .await
+                .unwrap();
+            started += stats["started"].as_u64().unwrap();
+        }
+        if started >= runs {
+            return;
+        }
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+#[test]
+fn call_that_may_not_be_repeated_is_never_sent_again_after_a_kill() {
+    smol::block_on(async {
+        let mut cluster = Cluster::start(&Shape::default()).await.unwrap();
+        cluster.add_adapters("n1", &["roast"], "1").await;
+        let tally = Tally::new();
+        let mut asked = Vec::new();
+        for n in 0..10 {
+            let (caller, tally) = (cluster.caller(n % 2), tally.clone());
+            let question = Question {
+                repeatable: false,
+                tokens: 500,
+                ..Question::adapter(format!("order-{n}"), "roast")
+            };
+            asked.push(cluster.traffic.spawn(async move {
+                let told = caller.ask(&question).await;
+                tally.note(question, told);
+            }));
+        }
+        wait_started(&cluster, 10).await;
+        for host in &mut cluster.agents {
+            host.process.take().unwrap().kill().unwrap();
+        }
+        for index in 0..cluster.agents.len() {
+            cluster.start_agent(index).unwrap();
+        }
+        for task in asked {
+            task.await;
+        }
+        assert_eq!(tally.counts().unknown, 10, "{}", cluster.logs());
+        let violations = tally.violations(&cluster).await;
+        assert!(violations.is_empty(), "{violations:#?}");
+    });
+}
+
 #[rstest]
 #[case(Failure::AgentCut)]
 #[case(Failure::AgentFrozen)]
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -1,1 +1,196 @@
 //! Tests of the entry's decisions.
+
+use crate::AgentKey;
+use crate::Ask;
+use crate::Router;
+use crate::Settings;
+use crate::retry;
+use crate::retry::Failure;
+use crate::retry::Repeatable;
+use crate::retry::RetryBudget;
+use crate::retry::Tried;
+use crate::retry::Verdict;
+use dogwoodshunt_residency::Report;
+use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::report::Serves;
+use dogwoodshunt_residency::report::UpstreamReport;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::NotRun;
+use dogwoodshunt_types::NotRunReason;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::time::Duration;
+use std::time::Instant;
+
+fn adapter(name: &str) -> AdapterRef {
+    AdapterRef::new(name, "1")
+}
+
+fn target(name: &str) -> Target {
+    Target::Adapter {
+        adapter: adapter(name),
+        base_model: "base".into(),
+    }
+}
+
+fn report(running: u32, ready: &[&str]) -> Report {
+    let upstream = UpstreamReport {
+        name: "runner".into(),
+        serves: Serves::BaseModel("base".into()),
+        takes_work: true,
+        running,
+        batch: 4,
+        slots: 4,
+        ready: ready.iter().map(|name| adapter(name)).collect(),
+        loading: Vec::new(),
+    };
+    Report {
+        upstreams: vec![upstream],
+        mean_run: Duration::from_secs(1),
+        ..Report::default()
+    }
+}
+
+fn router(now: Instant, reports: &[Report]) -> (Router, Vec<AgentKey>) {
+    let mut router = Router::new(Settings::default());
+    let keys = reports.iter().enumerate().map(|(index, report)| {
+        let key = router.add_agent(format!("host-{index}").into());
+        router.set_usable(key, true);
+        router.on_report(now, key, report.clone());
+        key
+    });
+    let keys = keys.collect();
+    (router, keys)
+}
+
+fn route(router: &mut Router, now: Instant, name: &str) -> Result<AgentKey, NotRun> {
+    let target = target(name);
+    router.route(
+        now,
+        &Ask {
+            target: &target,
+            deadline: None,
+            excluded: &[],
+        },
+    )
+}
+
+fn not_run(reason: NotRunReason) -> Failure {
+    Failure::NotRun(NotRun::new(reason, Duration::ZERO))
+}
+
+#[rstest]
+#[case(Failure::Unknown, Repeatable::Yes, false, true)]
+#[case(Failure::Unknown, Repeatable::Yes, true, false)]
+#[case(Failure::Unknown, Repeatable::No, false, false)]
+#[case(not_run(NotRunReason::Overloaded), Repeatable::No, false, true)]
+#[case(not_run(NotRunReason::Leaving), Repeatable::No, false, true)]
+#[case(not_run(NotRunReason::Deadline), Repeatable::Yes, false, false)]
+#[case(not_run(NotRunReason::Withdrawn), Repeatable::Yes, false, false)]
+fn only_what_cannot_run_twice_is_tried_again(
+    #[case] failure: Failure,
+    #[case] repeatable: Repeatable,
+    #[case] answered: bool,
+    #[case] retried: bool,
+) {
+    let tried = Tried {
+        attempts: 1,
+        most: 4,
+        repeatable,
+        answered,
+    };
+    let mut budget = RetryBudget::new(0.1, 10.0);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let verdict = retry::after(failure, &tried, &mut budget, &mut rng);
+    assert_eq!(matches!(verdict, Verdict::Retry { .. }), retried);
+}
+
+#[test]
+fn retries_end_with_their_budget_and_their_number() {
+    let mut budget = RetryBudget::new(0.1, 2.0);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut verdict = |attempts| {
+        let tried = Tried {
+            attempts,
+            most: 3,
+            repeatable: Repeatable::Yes,
+            answered: false,
+        };
+        retry::after(Failure::Unknown, &tried, &mut budget, &mut rng)
+    };
+    assert_eq!(verdict(3), Verdict::GiveUp);
+    assert!(matches!(verdict(1), Verdict::Retry { .. }));
+    assert!(matches!(verdict(1), Verdict::Retry { .. }));
+    assert_eq!(verdict(1), Verdict::GiveUp);
+}
+
+#[test]
+fn request_goes_where_its_adapter_is_ready() {
+    let now = Instant::now();
+    let reports = [report(0, &[]), report(2, &["roast"]), report(0, &[])];
+    let (mut router, keys) = router(now, &reports);
+    assert_eq!(route(&mut router, now, "roast"), Ok(keys[1]));
+}
+
+#[test]
+fn requests_for_an_absent_adapter_follow_the_first_one() {
+    let now = Instant::now();
+    let reports: Vec<Report> = (0..8).map(|_| report(0, &[])).collect();
+    let (mut router, _) = router(now, &reports);
+    let first = route(&mut router, now, "roast");
+    for _ in 0..3 {
+        assert_eq!(route(&mut router, now, "roast"), first);
+    }
+}
+
+#[test]
+fn full_batch_sends_a_popular_adapter_to_another_agent() {
+    let now = Instant::now();
+    let mut busy = report(4, &["roast"]);
+    busy.queued = 4;
+    let (mut router, keys) = router(now, &[busy, report(0, &[])]);
+    assert_eq!(route(&mut router, now, "roast"), Ok(keys[1]));
+}
+
+#[test]
+fn leaving_or_unusable_agent_gets_nothing() {
+    let now = Instant::now();
+    let (mut router, keys) = router(now, &[report(0, &["roast"]), report(0, &["roast"])]);
+    router.set_leaving(keys[0], true);
+    router.set_usable(keys[1], false);
+    assert!(route(&mut router, now, "roast").is_err());
+}
+
+#[test]
+fn agent_of_unknown_load_is_neither_free_nor_full() {
+    let start = Instant::now();
+    let (mut router, keys) = router(start, &[report(0, &[]), report(3, &[])]);
+    let later = start + Duration::from_secs(3);
+    router.on_report(later, keys[1], report(3, &[]));
+    // The first agent's report is stale: the one of known load comes first.
+    assert_eq!(route(&mut router, later, "roast"), Ok(keys[1]));
+    router.set_leaving(keys[1], true);
+    assert_eq!(route(&mut router, later, "roast"), Ok(keys[0]));
+}
+
+#[test]
+fn request_that_cannot_start_before_its_deadline_is_refused_at_once() {
+    let now = Instant::now();
+    let mut full = report(4, &["roast"]);
+    full.queued = 40;
+    let (mut router, _) = router(now, &[full]);
+    let target = target("roast");
+    let refused = router.route(
+        now,
+        &Ask {
+            target: &target,
+            deadline: Some(now + Duration::from_secs(1)),
+            excluded: &[],
+        },
+    );
+    let refused = refused.unwrap_err();
+    assert_eq!(refused.reason, NotRunReason::Deadline);
+    // The estimate tells when to come back.
+    assert!(refused.retry_after > Duration::from_secs(5));
+}
