--- a/crates/dogwoodshunt_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_agent/src/control/mod.rs
@@ -27,6 +27,7 @@
 use dogwoodshunt_residency::residency::OrderEnd;
 use dogwoodshunt_residency::residency::ProbeAnswer;
 use dogwoodshunt_runtime::link::Link;
+use dogwoodshunt_runtime::telemetry::ViolationWatch;
 use dogwoodshunt_runtime::traffic::Traffic;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Epoch;
@@ -165,6 +166,7 @@
     last_tick: Instant,
     epoch: Epoch,
     stopping: bool,
+    violations: ViolationWatch,
     planned_stop: bool,
     told_wants: HashSet<AdapterRef>,
 }
@@ -189,6 +191,7 @@
             last_tick: now,
             epoch: 0,
             stopping: false,
+            violations: ViolationWatch::default(),
             planned_stop: false,
             told_wants: HashSet::new(),
         };
@@ -283,6 +286,7 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        self.violations.look(&self.around.log);
         self.doubt_after_pause(now);
         self.probe_due(now);
         self.retry_parked(now);
--- a/crates/dogwoodshunt_agent/src/main.rs
+++ b/crates/dogwoodshunt_agent/src/main.rs
@@ -1,15 +1,10 @@
 //! The process beside an upstream host's engines and services.
 
 use clap::Parser;
-use clap::Subcommand;
 use dogwoodshunt_agent::Agent;
 use dogwoodshunt_agent::AgentSettings;
-use dogwoodshunt_runtime::settings;
-use dogwoodshunt_runtime::shutdown;
-use dogwoodshunt_runtime::telemetry;
-use dogwoodshunt_runtime::traffic;
-use std::error::Error;
-use std::path::PathBuf;
+use dogwoodshunt_runtime::program;
+use dogwoodshunt_runtime::program::Command;
 use std::process::ExitCode;
 
 /// The process beside an upstream host's engines and services.
@@ -24,65 +19,17 @@
     command: Command,
 }
 
-#[derive(Debug, Subcommand)]
-enum Command {
-    /// Checks a settings file and exits: 0 if it is good, 2 if not.
-    Check {
-        /// Settings file, JSON with comments.
-        settings: PathBuf,
-    },
-    /// Runs the agent.
-    Run {
-        /// Settings file, JSON with comments.
-        settings: PathBuf,
-    },
-}
-
-/// Exit code for settings that are refused.
-const BAD_SETTINGS: u8 = 2;
-
 fn main() -> ExitCode {
-    let (path, run) = match Cli::parse().command {
-        Command::Check { settings } => (settings, false),
-        Command::Run { settings } => (settings, true),
-    };
-    let settings: AgentSettings = match settings::read(&path) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("error: {error}");
-            return ExitCode::from(BAD_SETTINGS);
-        }
-    };
-    if !run {
-        println!("{}: good", path.display());
-        return ExitCode::SUCCESS;
-    }
-    match serve(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("error: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn serve(settings: AgentSettings) -> Result<(), Box<dyn Error>> {
-    let threads = usize::try_from(settings.traffic_threads)?;
-    let (traffic, _threads) = traffic::start(threads)?;
-    let log = telemetry::logger(
-        &settings.telemetry,
+    let command = Cli::parse().command;
+    program::main(
         "dogwoodshunt-agent",
-        &settings.node.name,
-    );
-    let (stop, stopped) = async_channel::bounded::<()>(1);
-    let wait = async move {
-        let _ = shutdown::requested().await;
-        drop(stop);
-    };
-    traffic.spawn(wait).detach();
-    smol::block_on(async {
-        let agent = Agent::bind(settings, traffic, log).await?;
-        agent.run(stopped).await;
-        Ok(())
-    })
+        command,
+        |settings: AgentSettings, around| {
+            smol::block_on(async {
+                let agent = Agent::bind(settings, around.traffic, around.log).await?;
+                agent.run(around.stop).await;
+                Ok(())
+            })
+        },
+    )
 }
--- a/crates/dogwoodshunt_agent/src/settings.rs
+++ b/crates/dogwoodshunt_agent/src/settings.rs
@@ -3,6 +3,7 @@
 use dogwoodshunt_residency::Settings;
 use dogwoodshunt_residency::upstream::Kind;
 use dogwoodshunt_residency::upstream::Room;
+use dogwoodshunt_runtime::program::ProgramSettings;
 use dogwoodshunt_runtime::settings::Checked;
 use dogwoodshunt_runtime::settings::Misfit;
 use dogwoodshunt_runtime::settings::NodeSettings;
@@ -154,6 +155,20 @@
     }
 }
 
+impl ProgramSettings for AgentSettings {
+    fn node(&self) -> &str {
+        &self.node.name
+    }
+
+    fn traffic_threads(&self) -> u64 {
+        self.traffic_threads
+    }
+
+    fn telemetry(&self) -> &TelemetrySettings {
+        &self.telemetry
+    }
+}
+
 impl Checked for AgentSettings {
     fn check(&self) -> Result<(), Misfit> {
         self.node.check()?;
--- a/crates/dogwoodshunt_entry/src/control/mod.rs
+++ b/crates/dogwoodshunt_entry/src/control/mod.rs
@@ -34,6 +34,7 @@
 use dogwoodshunt_routing::retry::Failure;
 use dogwoodshunt_routing::retry::Tried;
 use dogwoodshunt_routing::retry::Verdict;
+use dogwoodshunt_runtime::telemetry::ViolationWatch;
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::Revision;
@@ -162,6 +163,7 @@
     duty_due: Instant,
     next_request: u64,
     stopping: bool,
+    violations: ViolationWatch,
 }
 
 impl Control {
@@ -191,6 +193,7 @@
             duty_due: now,
             next_request: 0,
             stopping: false,
+            violations: ViolationWatch::default(),
         }
     }
 
@@ -261,6 +264,7 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        self.violations.look(&self.around.log);
         self.as_of = self.replica.fresh_as_of(now);
         self.end_switches(now);
         if self.beat_due <= now {
--- a/crates/dogwoodshunt_entry/src/settings.rs
+++ b/crates/dogwoodshunt_entry/src/settings.rs
@@ -2,6 +2,7 @@
 
 use dogwoodshunt_routing::Policy;
 use dogwoodshunt_routing::Settings;
+use dogwoodshunt_runtime::program::ProgramSettings;
 use dogwoodshunt_runtime::settings::Checked;
 use dogwoodshunt_runtime::settings::Misfit;
 use dogwoodshunt_runtime::settings::NodeSettings;
@@ -153,6 +154,20 @@
     }
 }
 
+impl ProgramSettings for EntrySettings {
+    fn node(&self) -> &str {
+        &self.node.name
+    }
+
+    fn traffic_threads(&self) -> u64 {
+        self.traffic_threads
+    }
+
+    fn telemetry(&self) -> &TelemetrySettings {
+        &self.telemetry
+    }
+}
+
 impl Checked for EntrySettings {
     fn check(&self) -> Result<(), Misfit> {
         self.node.check()?;
--- /dev/null
+++ b/crates/dogwoodshunt_runtime/src/program.rs
@@ -0,0 +1,102 @@
+//! What the mains of entry and agent share: `check` and `run`.
+
+use crate::settings;
+use crate::settings::Checked;
+use crate::settings::TelemetrySettings;
+use crate::shutdown;
+use crate::telemetry;
+use crate::traffic;
+use crate::traffic::Traffic;
+use async_channel::Receiver;
+use clap::Subcommand;
+use slog::Logger;
+use std::error::Error;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Exit code for settings that are refused.
+const BAD_SETTINGS: u8 = 2;
+
+/// What to do with a settings file.
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Checks a settings file and exits: 0 if it is good, 2 if not.
+    Check {
+        /// Settings file, JSON with comments.
+        settings: PathBuf,
+    },
+    /// Runs the program.
+    Run {
+        /// Settings file, JSON with comments.
+        settings: PathBuf,
+    },
+}
+
+/// Settings of a program that runs until it is told to stop.
+pub trait ProgramSettings: Checked {
+    /// Returns the name of this node.
+    fn node(&self) -> &str;
+
+    /// Returns how many threads carry traffic.
+    fn traffic_threads(&self) -> u64;
+
+    /// Returns where logs and metrics go.
+    fn telemetry(&self) -> &TelemetrySettings;
+}
+
+/// What a program runs with.
+pub struct Surroundings {
+    /// Traffic threads.
+    pub traffic: Traffic,
+    /// Logger of the process.
+    pub log: Logger,
+    /// Closes on SIGTERM and SIGINT.
+    pub stop: Receiver<()>,
+}
+
+/// Carries out `command` of program `name`; `serve` runs on this thread.
+pub fn main<S, F>(name: &'static str, command: Command, serve: F) -> ExitCode
+where
+    S: ProgramSettings,
+    F: FnOnce(S, Surroundings) -> Result<(), Box<dyn Error>>,
+{
+    let (path, run) = match command {
+        Command::Check { settings } => (settings, false),
+        Command::Run { settings } => (settings, true),
+    };
+    let settings: S = match settings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("error: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    if !run {
+        println!("{}: good", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match start(name, settings, serve) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start<S, F>(name: &'static str, settings: S, serve: F) -> Result<(), Box<dyn Error>>
+where
+    S: ProgramSettings,
+    F: FnOnce(S, Surroundings) -> Result<(), Box<dyn Error>>,
+{
+    let threads = usize::try_from(settings.traffic_threads())?;
+    let (traffic, _threads) = traffic::start(threads)?;
+    let log = telemetry::logger(settings.telemetry(), name, settings.node());
+    let (stopping, stop) = async_channel::bounded::<()>(1);
+    let wait = async move {
+        let _ = shutdown::requested().await;
+        drop(stopping);
+    };
+    traffic.spawn(wait).detach();
+    serve(settings, Surroundings { traffic, log, stop })
+}
--- a/crates/dogwoodshunt_runtime/src/telemetry.rs
+++ b/crates/dogwoodshunt_runtime/src/telemetry.rs
@@ -6,6 +6,7 @@
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
 use cadence::UdpMetricSink;
+use dogwoodshunt_types::invariant;
 use slog::Drain;
 use slog::Level;
 use slog::Logger;
@@ -54,6 +55,23 @@
     Ok(StatsdClient::from_sink(METRIC_PREFIX, sink))
 }
 
+/// Logs violations of invariants that this process has counted.
+#[derive(Debug, Default)]
+pub struct ViolationWatch {
+    seen: u64,
+}
+
+impl ViolationWatch {
+    /// Logs violations that are new since the last look.
+    pub fn look(&mut self, log: &Logger) {
+        let violations = invariant::violations();
+        if violations > self.seen {
+            slog::error!(log, "invariant violated"; "violations" => violations);
+            self.seen = violations;
+        }
+    }
+}
+
 fn level(level: LogLevel) -> Level {
     match level {
         LogLevel::Debug => Level::Debug,
