Never load an adapter over its own pins

Ruled out: a fault of the test; the trace shows `a3@1 Retiring 1` replaced by `a3@1 Loading 0` and then unloaded under request 16.

Change: an engine that holds the adapter in any state is no load site.

--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -240,6 +240,8 @@
             .filter(|(_, upstream)| upstream.takes_work() && upstream.owned)
             .filter(|(_, upstream)| upstream.is_engine_of(base_model))
             .filter(|(_, upstream)| !upstream.is_ordering() && upstream.may_load(now, adapter))
+            // A retiring adapter still holds its slot and its pins.
+            .filter(|(_, upstream)| !upstream.residents.contains_key(adapter))
             .filter(|(key, upstream)| upstream.has_slot() || self.victim(now, *key).is_some())
             .min_by_key(|(_, upstream)| (!upstream.has_slot(), upstream.running))
             .map(|(key, _)| key)
--- a/crates/dogwoodshunt_residency/src/residency.rs
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -27,7 +27,7 @@
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
 use slotmap::SlotMap;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -68,7 +68,7 @@
     pub(crate) queue: Vec<JobKey>,
     pub(crate) budget: LoadBudget,
     pub(crate) popularity: Popularity,
-    pub(crate) preloads: HashMap<AdapterRef, Box<str>>,
+    pub(crate) preloads: BTreeMap<AdapterRef, Box<str>>,
     leaving: bool,
     mean_run: Duration,
 }
@@ -85,7 +85,7 @@
             queue: Vec::new(),
             budget,
             popularity,
-            preloads: HashMap::new(),
+            preloads: BTreeMap::new(),
             leaving: false,
             mean_run: Duration::from_millis(500),
         }
--- a/crates/dogwoodshunt_residency/src/tests/focused.rs
+++ b/crates/dogwoodshunt_residency/src/tests/focused.rs
@@ -171,6 +171,32 @@
     assert_eq!(loaded(&agent.plan(late)), [&adapter("rare")]);
 }
 
+#[test]
+fn adapter_on_its_way_out_is_not_loaded_over_its_pins() {
+    let now = Instant::now();
+    let mut agent = Agent::new(2, &["busy", "other"], now);
+    agent.submit(now, "busy");
+    let other = agent.submit(now, "other");
+    agent.plan(now);
+    // Another adapter waits long enough for one to retire, then its request expires.
+    let late = now + Duration::from_secs(1);
+    agent.submit_as(now, "rare", Priority::Normal, Some(late));
+    agent.plan(late - Duration::from_millis(1));
+    agent.plan(late);
+    // The retired adapter is pinned; a new request for it finds room beside it.
+    agent.submit(late, "busy");
+    agent.residency.on_run_end(late, other, RunEnd::Over);
+    let upstream = agent.upstream;
+    if let [Action::Unload { adapter, .. }] = &agent.plan(late)[..] {
+        agent
+            .residency
+            .on_unload_end(upstream, adapter, OrderEnd::Done);
+    }
+    assert!(loaded(&agent.plan(late)).is_empty());
+    let held = &agent.residency.upstream(upstream).unwrap().residents;
+    assert_eq!(held[&adapter("busy")].pins, 1);
+}
+
 #[test]
 fn least_popular_idle_adapter_is_evicted() {
     let now = Instant::now();
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -4,7 +4,7 @@
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::UpstreamName;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -112,9 +112,9 @@
     /// Requests that it is running for this agent.
     pub running: usize,
     /// Adapters that occupy its slots.
-    pub residents: HashMap<AdapterRef, Resident>,
+    pub residents: BTreeMap<AdapterRef, Resident>,
     /// Adapters whose loads failed.
-    pub backoffs: HashMap<AdapterRef, Backoff>,
+    pub backoffs: BTreeMap<AdapterRef, Backoff>,
 }
 
 impl Upstream {
@@ -129,8 +129,8 @@
             owned: false,
             room: Room { slots: 0, batch: 0 },
             running: 0,
-            residents: HashMap::new(),
-            backoffs: HashMap::new(),
+            residents: BTreeMap::new(),
+            backoffs: BTreeMap::new(),
         }
     }
 
