Tell entries of each other's revisions within 100 ms, and measure notes

Cause: with accounts of other entries once a second, an entry learnt only after up to a second that the others held a note, so 'in force' was told late (200 notes had not ended after 95 s).

Ruled out: sending the accounts with every heartbeat (92 bytes an entry).

Change: an agent that learns of a higher revision of an entry tells the others at once, at most every 100 ms; dogwoodshunt-load notes.

--- a/crates/dogwoodshunt_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_agent/src/control/links.rs
@@ -20,6 +20,9 @@
 /// an entry that is not heard of no longer counts as live.
 const PEERS_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Shortest time between two accounts of other entries.
+const PEERS_PAUSE: Duration = Duration::from_millis(100);
+
 /// One entry's connection.
 pub(super) struct LinkState {
     pub(super) entry_boot: BootId,
@@ -94,8 +97,11 @@
         match frame {
             Frame::Ack { request, next } => self.on_ack(now, request, next),
             Frame::Beat(beat) => {
+                let held = self.replica.peer(peer).map(|peer| peer.revision);
                 let answer = self.replica.on_beat(now, peer, &beat);
                 self.send_all(key, answer);
+                // The others learn at the next tick how far this entry is.
+                self.peers_moved |= self.replica.peer(peer).map(|peer| peer.revision) != held;
                 if let Some(link) = self.links.get_mut(key) {
                     link.granter = beat.granter;
                 }
@@ -214,15 +220,21 @@
         }
         self.apply_stops(now);
         self.preload_changed();
-        self.tell_peers_now(now);
+        self.peers_moved = true;
         self.beat_all(now);
     }
 
-    /// Lets the next heartbeats tell entries of each other's revisions.
-    fn tell_peers_now(&mut self, now: Instant) {
+    /// Tells entries of each other's revisions, if any has changed.
+    pub(super) fn tell_peers(&mut self, now: Instant) {
+        if !self.peers_moved || self.peers_told_until > now {
+            return;
+        }
+        self.peers_moved = false;
+        self.peers_told_until = now + PEERS_PAUSE;
         for link in self.links.values_mut() {
             link.peers_due = now;
         }
+        self.beat_all(now);
     }
 
     /// Loads new versions of adapters that are in use here ahead of requests.
--- a/crates/dogwoodshunt_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_agent/src/control/mod.rs
@@ -169,6 +169,8 @@
     violations: ViolationWatch,
     planned_stop: bool,
     told_wants: HashSet<AdapterRef>,
+    peers_moved: bool,
+    peers_told_until: Instant,
 }
 
 impl Control {
@@ -194,6 +196,8 @@
             violations: ViolationWatch::default(),
             planned_stop: false,
             told_wants: HashSet::new(),
+            peers_moved: false,
+            peers_told_until: now,
         };
         for upstream in &settings.upstreams {
             control.add_upstream(now, upstream, settings.order_timeout_ms);
@@ -291,6 +295,7 @@
         self.probe_due(now);
         self.retry_parked(now);
         self.expire_requests(now);
+        self.tell_peers(now);
         if self.beat_due <= now {
             self.beat_due = now + self.heartbeat;
             self.beat_all(now);
--- a/crates/dogwoodshunt_load/src/lib.rs
+++ b/crates/dogwoodshunt_load/src/lib.rs
@@ -5,13 +5,14 @@
 //! [`experiment`] runs one trace against the chosen design and the baselines
 //! side by side, [`bound`] computes what no online design can beat and
 //! [`report`] and [`plot`] write the results. [`path_cost`] measures what the
-//! way through entry and agent adds. [`slopes`] measures what docs/CAPACITY.md
+//! way through entry and agent adds, [`notes`] how fast a note is in force. [`slopes`] measures what docs/CAPACITY.md
 //! rests on.
 
 pub mod bound;
 pub mod drive;
 pub mod experiment;
 pub mod measure;
+pub mod notes;
 pub mod path_cost;
 pub mod plot;
 pub mod report;
--- a/crates/dogwoodshunt_load/src/main.rs
+++ b/crates/dogwoodshunt_load/src/main.rs
@@ -4,6 +4,8 @@
 use clap::Parser;
 use clap::Subcommand;
 use dogwoodshunt_load::experiment;
+use dogwoodshunt_load::notes;
+use dogwoodshunt_load::notes::Disturbance;
 use dogwoodshunt_load::path_cost;
 use dogwoodshunt_load::plot;
 use dogwoodshunt_load::report;
@@ -30,6 +32,8 @@
 enum Command {
     /// Runs one workload against the chosen design and the baselines, side by side.
     Experiment(ExperimentArgs),
+    /// Measures the time from a note's acceptance until it is in force.
+    Notes(NotesArgs),
     /// Measures what the way through entry and agent adds to a call.
     Path(PathArgs),
     /// Measures the slopes that docs/CAPACITY.md rests on.
@@ -51,6 +55,16 @@
     svg: Option<PathBuf>,
 }
 
+#[derive(Args, Debug)]
+struct NotesArgs {
+    /// Notes of a healthy fleet, and of one whose service goes down.
+    #[arg(long, default_value_t = 200)]
+    notes: usize,
+    /// Notes while an agent is frozen, and while a failure domain is cut off.
+    #[arg(long, default_value_t = 20)]
+    disturbed: usize,
+}
+
 #[derive(Args, Debug)]
 struct PathArgs {
     /// Calls on each way.
@@ -75,6 +89,7 @@
     let done = smol::block_on(async {
         match Cli::parse().command {
             Command::Experiment(args) => run_experiment(&args).await,
+            Command::Notes(args) => run_notes(&args).await,
             Command::Path(args) => run_path(&args).await,
             Command::Slopes(args) => run_slopes(&args).await,
         }
@@ -107,6 +122,21 @@
     Ok(())
 }
 
+async fn run_notes(args: &NotesArgs) -> Result<(), Box<dyn Error>> {
+    println!("four entries, 18 agents, {}", load_average());
+    println!("| disturbance | notes | submit to accepted, ms | accepted to in force, ms |");
+    println!("| --- | --- | --- | --- |");
+    for (disturbance, count) in [
+        (Disturbance::None, args.notes),
+        (Disturbance::ServiceDown, args.notes),
+        (Disturbance::AgentFrozen, args.disturbed),
+        (Disturbance::DomainCut, args.disturbed),
+    ] {
+        println!("{}", notes::measure(disturbance, count).await?);
+    }
+    Ok(())
+}
+
 async fn run_path(args: &PathArgs) -> Result<(), Box<dyn Error>> {
     let cost = path_cost::measure(args.calls, args.parallel).await?;
     println!("{cost} {}", load_average());
