Expect a load to wait for all that are wanted, and shrink heartbeats

Entries that knew nothing of an adapter chose different homes for it. Heartbeats spent 110 bytes on names of fields.

Ruled out: fewer homes; they hold popular adapters on one full agent.

--- a/crates/dogwoodshunt_agent/src/control/upstreams.rs
+++ b/crates/dogwoodshunt_agent/src/control/upstreams.rs
@@ -6,7 +6,7 @@
 use crate::orders::OrderWorker;
 use crate::settings::UpstreamSettings;
 use dogwoodshunt_residency::UpstreamKey;
-use dogwoodshunt_residency::residency::OrderEnd;
+use dogwoodshunt_residency::orders::OrderEnd;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Epoch;
 use slog::info;
--- a/crates/dogwoodshunt_agent/src/ownership.rs
+++ b/crates/dogwoodshunt_agent/src/ownership.rs
@@ -8,6 +8,7 @@
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::NodeId;
+use rand::RngExt;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Pause between tries while the key-value service does not answer.
+/// Mean pause between tries while the key-value service does not answer.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
 /// Keeps this process the owner of its host's upstreams.
@@ -63,7 +64,7 @@
                 }
                 Err(error) => warn!(self.log, "take over failed"; "error" => %error),
             }
-            Timer::after(RETRY_PAUSE).await;
+            Timer::after(retry_pause()).await;
         }
     }
 
@@ -73,7 +74,7 @@
                 Ok(owner) => return owner,
                 Err(error) => warn!(self.log, "verify ownership failed"; "error" => %error),
             }
-            Timer::after(RETRY_PAUSE).await;
+            Timer::after(retry_pause()).await;
         }
     }
 
@@ -81,3 +82,8 @@
         let _ = self.events.send(event).await;
     }
 }
+
+/// Returns a pause drawn evenly around the mean, so that agents spread out.
+fn retry_pause() -> Duration {
+    RETRY_PAUSE.mul_f64(rand::rng().random_range(0.5..1.5))
+}
--- a/crates/dogwoodshunt_agent/src/settings.rs
+++ b/crates/dogwoodshunt_agent/src/settings.rs
@@ -192,7 +192,7 @@
 }
 
 fn default_heartbeat_ms() -> u64 {
-    250
+    500
 }
 
 fn default_queue_limit() -> u64 {
--- a/crates/dogwoodshunt_freshness/src/freshness.rs
+++ b/crates/dogwoodshunt_freshness/src/freshness.rs
@@ -29,13 +29,17 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Summary {
     /// Revision of the sender's catalogue.
+    #[serde(rename = "r")]
     pub revision: Revision,
     /// Age of what the sender knows of the service, in milliseconds.
+    #[serde(rename = "s")]
     pub service_age_ms: Option<u32>,
     /// Revision of the log entry that named the witnesses.
+    #[serde(rename = "e")]
     pub electorate: Revision,
     /// What the sender knows of each witness, in the order of the log entry,
     /// then of each outgoing one.
+    #[serde(rename = "w")]
     pub witnesses: Vec<WitnessState>,
 }
 
--- a/crates/dogwoodshunt_load/src/slopes/sample.rs
+++ b/crates/dogwoodshunt_load/src/slopes/sample.rs
@@ -83,6 +83,11 @@
 
 /// Returns a load report of an agent with one engine and `ready` adapters.
 pub fn report(ready: usize) -> Report {
+    report_from(0, ready)
+}
+
+/// Returns a load report with the adapters from number `first` on.
+pub fn report_from(first: usize, ready: usize) -> Report {
     let upstream = UpstreamReport {
         name: "runner-0001".into(),
         serves: Serves::BaseModel(BASE_MODEL.into()),
@@ -90,8 +95,8 @@
         running: 24,
         batch: 32,
         slots: 32,
-        ready: (0..ready).map(adapter).collect(),
-        loading: vec![adapter(ready)],
+        ready: (first..first + ready).map(adapter).collect(),
+        loading: vec![adapter(first + ready)],
     };
     Report {
         upstreams: vec![upstream],
--- a/crates/dogwoodshunt_load/src/slopes/service.rs
+++ b/crates/dogwoodshunt_load/src/slopes/service.rs
@@ -15,6 +15,9 @@
 /// Time for which an idle fleet is watched, in seconds.
 const IDLE_S: u64 = 10;
 
+/// Agents that are killed and started again.
+const RESTARTED: usize = 4;
+
 /// Changes and keyed requests that are made.
 const MADE: usize = 20;
 
@@ -25,13 +28,14 @@
 /// Fails if a process does not start.
 pub async fn measure() -> io::Result<Vec<Slope>> {
     let (mut idle, mut change, mut keyed) = (Vec::new(), Vec::new(), Vec::new());
+    let mut joining = Vec::new();
     for (entries, agents) in FLEETS {
         let shape = Shape {
             entries,
             agents,
             ..Shape::default()
         };
-        let cluster = Cluster::start(&shape).await?;
+        let mut cluster = Cluster::start(&shape).await?;
         let size = (entries + agents) as f64;
         settle(&cluster).await;
         let per_second = idle_calls(&cluster).await;
@@ -39,6 +43,7 @@
         let made = change_calls(&cluster, per_second).await;
         change.push((size, made));
         keyed.push((size, keyed_calls(&cluster, per_second).await));
+        joining.push((size, joining_calls(&mut cluster, per_second).await?));
     }
     Ok(vec![
         Slope::fit(
@@ -52,6 +57,11 @@
             "calls by processes",
             keyed,
         ),
+        Slope::fit(
+            "key-value calls per agent restarted",
+            "calls by processes",
+            joining,
+        ),
     ])
 }
 
@@ -94,6 +104,22 @@
     (calls(cluster).await - before - idle) / MADE as f64
 }
 
+/// Returns the calls that a restarted agent brings, its successor's part as a
+/// witness included.
+async fn joining_calls(cluster: &mut Cluster, idle: f64) -> io::Result<f64> {
+    let begun = std::time::Instant::now();
+    let before = calls(cluster).await;
+    for agent in 0..RESTARTED {
+        if let Some(mut process) = cluster.agents[agent].process.take() {
+            process.kill()?;
+        }
+        cluster.start_agent(agent)?;
+    }
+    Timer::after(Duration::from_secs(IDLE_S)).await;
+    let idle = idle * begun.elapsed().as_secs_f64();
+    Ok((calls(cluster).await - before - idle) / RESTARTED as f64)
+}
+
 async fn keyed_calls(cluster: &Cluster, idle: f64) -> f64 {
     let begun = std::time::Instant::now();
     let before = calls(cluster).await;
--- a/crates/dogwoodshunt_load/src/slopes/state.rs
+++ b/crates/dogwoodshunt_load/src/slopes/state.rs
@@ -8,8 +8,8 @@
 use dogwoodshunt_residency::Settings;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::job::Job;
+use dogwoodshunt_residency::orders::ProbeAnswer;
 use dogwoodshunt_residency::report::ReportUpdate;
-use dogwoodshunt_residency::residency::ProbeAnswer;
 use dogwoodshunt_residency::upstream::Kind;
 use dogwoodshunt_residency::upstream::Room;
 use dogwoodshunt_routing::Router;
@@ -115,7 +115,9 @@
     for number in 0..count {
         let key = router.add_agent(sample::identity(number).node);
         router.set_usable(key, true);
-        router.on_report(now, key, ReportUpdate::Full(sample::report(32)));
+        // Adapters of neighbours overlap, so that each has about two copies.
+        let report = sample::report_from(number * 16, 32);
+        router.on_report(now, key, ReportUpdate::Full(report));
     }
     router
 }
--- a/crates/dogwoodshunt_load/src/slopes/work.rs
+++ b/crates/dogwoodshunt_load/src/slopes/work.rs
@@ -136,7 +136,7 @@
 fn choose_agent(agents: usize) -> impl FnMut() {
     let now = Instant::now();
     let mut router = router_with_agents(agents);
-    let target = sample::target(5);
+    let target = sample::target(agents * 8);
     move || {
         let ask = Ask {
             target: &target,
--- a/crates/dogwoodshunt_proof/src/cluster.rs
+++ b/crates/dogwoodshunt_proof/src/cluster.rs
@@ -162,7 +162,7 @@
 }
 
 impl Cluster {
-    /// Starts a cluster and waits until every entry can serve callers.
+    /// Starts a cluster and waits until every entry can use every agent.
     ///
     /// # Errors
     ///
@@ -196,11 +196,27 @@
             cluster.add_entry(shape, index).await?;
         }
         for index in 0..shape.entries {
-            cluster.operator(index).wait_ready().await;
+            cluster.wait_complete(index).await;
         }
         Ok(cluster)
     }
 
+    /// Waits until an entry can use every agent.
+    async fn wait_complete(&self, entry: usize) {
+        let operator = self.operator(entry);
+        loop {
+            let overview = operator.status().await;
+            let complete = overview.is_ok_and(|overview| {
+                let mut agents = overview.agents.iter();
+                overview.ready && agents.all(|agent| agent.fresh && !agent.upstreams.is_empty())
+            });
+            if complete {
+                return;
+            }
+            Timer::after(POLL).await;
+        }
+    }
+
     /// Returns a client of an entry's operators' interface.
     pub fn operator(&self, entry: usize) -> Operator {
         Operator::new(self.client.clone(), self.entries[entry].operators)
--- a/crates/dogwoodshunt_proof/tests/upstreams.rs
+++ b/crates/dogwoodshunt_proof/tests/upstreams.rs
@@ -1,5 +1,7 @@
 //! Upstreams that restart, fail, lie and ignore fencing numbers.
 
+#![expect(clippy::unwrap_used, reason = "a test helper may panic")]
+
 use dogwoodshunt_proof::Cluster;
 use dogwoodshunt_proof::Load;
 use dogwoodshunt_proof::Shape;
@@ -45,21 +47,27 @@
     });
 }
 
+/// Starts a cluster of one agent whose engine has `faults`.
+async fn one_engine_with(faults: serde_json::Value) -> Cluster {
+    let shape = Shape {
+        agents: 1,
+        entries: 1,
+        ..Shape::default()
+    };
+    let cluster = Cluster::start(&shape).await.unwrap();
+    cluster.add_adapters("n1", &["roast"], "1").await;
+    let engine = cluster.agents[0].engine;
+    let set = cluster.post_standin(engine, "/standin/faults", &faults);
+    set.await.unwrap();
+    cluster
+}
+
 #[rstest]
 #[case(false)]
 #[case(true)]
 fn answer_of_another_version_never_reaches_the_caller(#[case] stream: bool) {
     smol::block_on(async {
-        let shape = Shape {
-            agents: 1,
-            entries: 1,
-            ..Shape::default()
-        };
-        let cluster = Cluster::start(&shape).await.unwrap();
-        cluster.add_adapters("n1", &["roast"], "1").await;
-        let lie = json!({"answer_as_version": "0"});
-        let told = cluster.post_standin(cluster.agents[0].engine, "/standin/faults", &lie);
-        told.await.unwrap();
+        let cluster = one_engine_with(json!({"answer_as_version": "0"})).await;
         let question = Question {
             stream,
             ..Question::adapter("t1", "roast@1")
@@ -72,16 +80,7 @@
 #[test]
 fn stream_that_ends_before_its_last_event_is_broken_off() {
     smol::block_on(async {
-        let shape = Shape {
-            agents: 1,
-            entries: 1,
-            ..Shape::default()
-        };
-        let cluster = Cluster::start(&shape).await.unwrap();
-        cluster.add_adapters("n1", &["roast"], "1").await;
-        let cut = json!({"end_streams_after": 2});
-        let told = cluster.post_standin(cluster.agents[0].engine, "/standin/faults", &cut);
-        told.await.unwrap();
+        let cluster = one_engine_with(json!({"end_streams_after": 2})).await;
         let question = Question {
             stream: true,
             ..Question::adapter("t1", "roast")
@@ -94,16 +93,7 @@
 #[test]
 fn failing_load_is_refused_and_not_hammered() {
     smol::block_on(async {
-        let shape = Shape {
-            agents: 1,
-            entries: 1,
-            ..Shape::default()
-        };
-        let cluster = Cluster::start(&shape).await.unwrap();
-        cluster.add_adapters("n1", &["roast"], "1").await;
-        let fail = json!({"fail_loads": 2});
-        let told = cluster.post_standin(cluster.agents[0].engine, "/standin/faults", &fail);
-        told.await.unwrap();
+        let cluster = one_engine_with(json!({"fail_loads": 2})).await;
         let told = cluster
             .caller(0)
             .ask(&Question::adapter("t1", "roast"))
--- a/crates/dogwoodshunt_residency/src/lib.rs
+++ b/crates/dogwoodshunt_residency/src/lib.rs
@@ -4,12 +4,13 @@
 //! entries have submitted to it. Events go in with the present time, actions
 //! come out. The crate does no I/O, reads no clock and takes no lock.
 //!
-//! Read [`job`] and [`upstream`] for the state, [`residency`] for the events,
-//! then [`plan`] for the decisions; [`budget`] and [`popularity`] serve it.
+//! Read [`job`] and [`upstream`] for the state, [`residency`] and [`orders`] for
+//! the events, then [`plan`] for the decisions; [`budget`] and [`popularity`] serve it.
 
 pub mod action;
 pub mod budget;
 pub mod job;
+pub mod orders;
 pub mod plan;
 pub mod popularity;
 pub mod report;
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -78,12 +78,16 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ReportLoad {
     /// Requests running on each upstream, in the order of the report.
+    #[serde(rename = "r")]
     pub running: Vec<u32>,
     /// Requests that wait in the agent's queue.
+    #[serde(rename = "q")]
     pub queued: u32,
     /// Mean time that a request runs.
+    #[serde(rename = "m")]
     pub mean_run: Duration,
     /// Adapters that wait to be loaded, the costliest first.
+    #[serde(rename = "w")]
     pub wants: Vec<LoadWant>,
 }
 
--- a/crates/dogwoodshunt_residency/src/residency.rs
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -15,12 +15,9 @@
 use crate::upstream::Link;
 use crate::upstream::Residence;
 use crate::upstream::Resident;
-use crate::upstream::Room;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamKey;
-use crate::upstream::backoff_pause;
 use dogwoodshunt_types::AdapterRef;
-use dogwoodshunt_types::BootId;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::UpstreamName;
@@ -37,28 +34,6 @@
 /// Time after which a refused caller may find room elsewhere.
 pub(crate) const SHORT_RETRY: Duration = Duration::from_millis(500);
 
-/// How a load order ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderEnd {
-    /// The upstream carried the order out.
-    Done,
-    /// The upstream refused it or failed to carry it out.
-    Failed,
-    /// The answer was lost; the upstream may have carried it out.
-    Unsure,
-}
-
-/// What a probe of an upstream found.
-#[derive(Clone, Debug)]
-pub struct ProbeAnswer {
-    /// Boot of the upstream.
-    pub boot: BootId,
-    /// Room of the upstream.
-    pub room: Room,
-    /// Adapters that it holds.
-    pub resident: Vec<AdapterRef>,
-}
-
 /// State of one agent's upstreams and jobs.
 #[derive(Clone, Debug)]
 pub struct Residency {
@@ -221,63 +196,6 @@
         actions
     }
 
-    /// Records how a load order ended.
-    pub fn on_load_end(
-        &mut self,
-        now: Instant,
-        upstream: UpstreamKey,
-        adapter: &AdapterRef,
-        end: OrderEnd,
-    ) -> Vec<Action> {
-        match end {
-            OrderEnd::Done => {
-                self.finish_load(now, upstream, adapter);
-                Vec::new()
-            }
-            OrderEnd::Failed => self.fail_load(now, upstream, adapter),
-            OrderEnd::Unsure => self.doubt(upstream, adapter),
-        }
-    }
-
-    /// Records how an unload order ended.
-    pub fn on_unload_end(
-        &mut self,
-        upstream: UpstreamKey,
-        adapter: &AdapterRef,
-        end: OrderEnd,
-    ) -> Vec<Action> {
-        match end {
-            OrderEnd::Done => {
-                if let Some(upstream) = self.upstreams.get_mut(upstream) {
-                    upstream.residents.remove(adapter);
-                }
-                Vec::new()
-            }
-            OrderEnd::Failed | OrderEnd::Unsure => self.doubt(upstream, adapter),
-        }
-    }
-
-    /// Records a probe's answer.
-    pub fn on_probe(&mut self, now: Instant, key: UpstreamKey, answer: &ProbeAnswer) {
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return;
-        };
-        upstream.read_back(now, answer.boot, &answer.resident);
-        upstream.room = answer.room;
-    }
-
-    /// Records that an upstream does not answer.
-    pub fn on_upstream_down(&mut self, key: UpstreamKey) {
-        self.mark_down(key);
-    }
-
-    /// Records whether this agent may order its upstreams.
-    pub fn set_owned(&mut self, owned: bool) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.owned = owned;
-        }
-    }
-
     /// Records whether one upstream is leaving.
     pub fn set_upstream_leaving(&mut self, name: &str, leaving: bool) {
         let upstreams = self.upstreams.values_mut();
@@ -374,64 +292,12 @@
         }
     }
 
-    fn mark_down(&mut self, key: UpstreamKey) {
+    pub(crate) fn mark_down(&mut self, key: UpstreamKey) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.link = Link::Down;
         }
     }
 
-    fn finish_load(&mut self, now: Instant, key: UpstreamKey, adapter: &AdapterRef) {
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return;
-        };
-        upstream.backoffs.remove(adapter);
-        if let Some(resident) = upstream.residents.get_mut(adapter) {
-            resident.state = Residence::Ready;
-            resident.last_used = now;
-        }
-    }
-
-    fn fail_load(&mut self, now: Instant, key: UpstreamKey, adapter: &AdapterRef) -> Vec<Action> {
-        let (first, most) = (self.settings.backoff_first, self.settings.backoff_most);
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return Vec::new();
-        };
-        upstream.residents.remove(adapter);
-        let before = upstream.backoffs.get(adapter).map_or(0, |b| b.failures);
-        let pause = backoff_pause(first, most, before + 1);
-        let failures = upstream.note_failure(adapter, now + pause);
-        if failures < self.settings.load_attempts {
-            return Vec::new();
-        }
-        self.refuse_waiters(adapter, NotRun::new(NotRunReason::LoadFailed, pause))
-    }
-
-    fn refuse_waiters(&mut self, adapter: &AdapterRef, not_run: NotRun) -> Vec<Action> {
-        let waiting: Vec<JobKey> = self
-            .queue
-            .iter()
-            .copied()
-            .filter(|key| match &self.jobs[*key] {
-                AnyJob::Queued(job) => job.target.adapter() == Some(adapter),
-                AnyJob::Running(_) => false,
-            })
-            .collect();
-        waiting
-            .into_iter()
-            .filter_map(|key| self.refuse(key, not_run))
-            .collect()
-    }
-
-    fn doubt(&mut self, key: UpstreamKey, adapter: &AdapterRef) -> Vec<Action> {
-        let Some(upstream) = self.upstreams.get_mut(key) else {
-            return Vec::new();
-        };
-        if let Some(resident) = upstream.residents.get_mut(adapter) {
-            resident.state = Residence::Unsure;
-        }
-        vec![Action::Probe { upstream: key }]
-    }
-
     /// Checks the invariants of this slice.
     ///
     /// # Panics
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -60,6 +60,11 @@
         self.report = report.map(|report| (now, report)).or(self.report.take());
     }
 
+    /// Returns how many loads the agent waits for.
+    pub fn wanted(&self) -> usize {
+        self.last_report().map_or(0, |report| report.wants.len())
+    }
+
     /// Returns the adapters that the last report shows ready or loading.
     pub fn reported(&self) -> impl Iterator<Item = &AdapterRef> {
         let upstreams = self
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -17,8 +17,6 @@
     pub batch: f64,
     /// Mean time that a request runs, in seconds.
     pub mean_run: f64,
-    /// Adapters that wait to be loaded.
-    pub wants: f64,
 }
 
 impl Load {
@@ -34,7 +32,6 @@
             busy: running.max(f64::from(agent.in_flight())),
             batch: batch.max(1.0),
             mean_run: report.mean_run.as_secs_f64(),
-            wants: report.wants.len() as f64,
         })
     }
 
@@ -54,20 +51,32 @@
 }
 
 /// Returns the expected load stall for an adapter at `nearness`, in seconds.
-pub fn stall(nearness: Nearness, load: &Load, settings: &Settings) -> f64 {
-    let load_time = settings.load_time.as_secs_f64();
+///
+/// All agents share the weight store, so a load waits for those that are
+/// wanted anywhere: `wanted` loads at the store's rate. A load that was asked
+/// for before is on average half way through.
+pub fn stall(nearness: Nearness, wanted: f64, settings: &Settings) -> f64 {
+    let whole = settings.load_time.as_secs_f64() + wanted / settings.loads_per_second;
     match nearness {
         Nearness::Ready => 0.0,
-        Nearness::Coming => load_time / 2.0,
-        Nearness::Absent => load_time + load.wants / settings.loads_per_second,
+        Nearness::Coming => whole / 2.0,
+        Nearness::Absent => whole,
     }
 }
 
 /// Returns the cost of sending a request for `target` to `agent`.
-pub fn estimate(now: Instant, agent: &Agent, target: &Target, settings: &Settings) -> Option<f64> {
+///
+/// `wanted` counts the loads that agents wait for.
+pub fn estimate(
+    now: Instant,
+    agent: &Agent,
+    target: &Target,
+    wanted: f64,
+    settings: &Settings,
+) -> Option<f64> {
     let load = Load::of(now, agent, target, settings)?;
     let stalled = target.adapter().map_or(0.0, |adapter| {
-        stall(agent.nearness(adapter), &load, settings)
+        stall(agent.nearness(adapter), wanted, settings)
     });
     let emptiness = 1.0 - load.fullness();
     Some(load.wait() + settings.stall_weight * stalled + settings.batch_weight * emptiness)
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -2,6 +2,7 @@
 
 use crate::agent::Agent;
 use crate::agent::AgentKey;
+use crate::agent::Nearness;
 use crate::cost;
 use crate::near::NearIndex;
 use crate::retry;
@@ -46,6 +47,7 @@
     settings: Settings,
     agents: SlotMap<AgentKey, Agent>,
     near: NearIndex,
+    wanted: usize,
     budget: RetryBudget,
     rng: ChaCha8Rng,
 }
@@ -59,6 +61,7 @@
             settings,
             agents: SlotMap::with_key(),
             near: NearIndex::default(),
+            wanted: 0,
             budget,
             rng,
         }
@@ -73,6 +76,7 @@
     pub fn remove_agent(&mut self, key: AgentKey) {
         if let Some(agent) = self.agents.remove(key) {
             self.near.forget(key, agent.reported());
+            self.wanted -= agent.wanted();
         }
     }
 
@@ -112,13 +116,15 @@
         let Some(agent) = self.agents.get_mut(key) else {
             return;
         };
+        self.wanted -= agent.wanted();
         if matches!(update, ReportUpdate::Load(_)) {
             agent.on_report(now, update);
-            return;
+        } else {
+            self.near.forget(key, agent.reported());
+            agent.on_report(now, update);
+            self.near.remember(key, agent.reported());
         }
-        self.near.forget(key, agent.reported());
-        agent.on_report(now, update);
-        self.near.remember(key, agent.reported());
+        self.wanted += agent.wanted();
     }
 
     /// Records a new request, which earns a part of a retry.
@@ -205,15 +211,31 @@
                 candidates.push(key);
             }
         }
+        let wanted = self.wanted as f64;
         let known = candidates.iter().enumerate().filter_map(|(rank, key)| {
             let agent = &self.agents[*key];
-            let cost = cost::estimate(now, agent, ask.target, &self.settings)?;
-            Some((cost, rank, *key))
+            let cost = cost::estimate(now, agent, ask.target, wanted, &self.settings)?;
+            // Entries that do not know of each other's requests meet at the
+            // first home, unless another one saves more than a load.
+            let apart = rank.min(self.settings.homes) as f64 * self.home_step(agent, ask.target);
+            Some((cost + apart, rank, *key))
         });
         let best = known.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         best.map(|(_, _, key)| key).or(first_home)
     }
 
+    /// Returns what each further home costs where the adapter is absent.
+    fn home_step(&self, agent: &Agent, target: &Target) -> f64 {
+        let absent = target
+            .adapter()
+            .is_some_and(|adapter| agent.nearness(adapter) == Nearness::Absent);
+        if absent {
+            self.settings.stall_weight * self.settings.load_time.as_secs_f64()
+        } else {
+            0.0
+        }
+    }
+
     fn least_loaded(&self, now: Instant, ask: &Ask<'_>) -> Option<AgentKey> {
         let busy = |key: &AgentKey| {
             let load = cost::Load::of(now, &self.agents[*key], ask.target, &self.settings);
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 /// Version of the frames; both sides must speak the same.
-pub const PROTOCOL: u32 = 1;
+pub const PROTOCOL: u32 = 2;
 
 /// Bytes of answer that an agent may have unacknowledged per request.
 pub const WINDOW_BYTES: usize = 256 * 1024;
@@ -199,27 +199,39 @@
 }
 
 /// Heartbeat.
+///
+/// Its fields have short names on the network, since it is sent all the time.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Beat {
     /// Number of this heartbeat on its connection, from 1.
+    #[serde(rename = "n")]
     pub number: u64,
     /// Number of the newest heartbeat received on the connection; 0 for none.
+    #[serde(rename = "c")]
     pub echo: u64,
     /// What the sender has heard.
+    #[serde(rename = "s")]
     pub summary: Summary,
     /// Whether the sender trusts its catalogue.
+    #[serde(rename = "f")]
     pub fresh: bool,
     /// Whether the sender is leaving.
+    #[serde(rename = "l")]
     pub leaving: bool,
     /// Whether the sending entry decides which loads come next.
+    #[serde(rename = "g")]
     pub granter: bool,
     /// Whether the sender runs no request.
+    #[serde(rename = "m")]
     pub empty: bool,
     /// Fencing number of the sending agent; 0 from an entry.
+    #[serde(rename = "e")]
     pub epoch: Epoch,
     /// Load of the sending agent, or what of it has changed.
+    #[serde(rename = "r")]
     pub report: Option<ReportUpdate>,
     /// What the sending agent knows of entries; only now and then.
+    #[serde(rename = "p")]
     pub peers: Vec<PeerState>,
 }
 
