Tell "in force" only once no bare name means an older version

Cause: read as a newcomer, an entry may go on using the version before for up to 2 s while it is loaded elsewhere, but "in force" was told as soon as every live node held the note; an operator could then still be answered by the older version.

Ruled out: moving bare names at once; their callers would wait for the load.

Change: for a note that changes adapters, "in force" is told 2 s after its acceptance was seen; by then no entry uses the version before.

Before: bare_name_means_the_new_version_once_the_note_is_in_force fails (line taken out: answered by version 1).

--- a/crates/dogwoodshunt_entry/src/api/claims.rs
+++ b/crates/dogwoodshunt_entry/src/api/claims.rs
@@ -65,6 +65,14 @@
     lease: LeaseId,
 }
 
+/// Whether a request with the key has been begun before.
+enum Begun {
+    /// Another request holds the key.
+    Before(Claim),
+    /// This request holds the key.
+    Now(Held),
+}
+
 impl<K: Kv> Claims<K> {
     /// Creates claims for the boot of this entry.
     pub fn new(kv: Arc<K>, boot: BootId, log: Logger) -> Self {
@@ -90,8 +98,8 @@
     ) -> Result<Ran, GaveUp> {
         let fingerprint = fingerprint(request);
         let held = match self.claim(key, &fingerprint).await? {
-            Ok(held) => held,
-            Err(earlier) => return replay(earlier, &fingerprint),
+            Begun::Now(held) => held,
+            Begun::Before(earlier) => return replay(earlier, &fingerprint),
         };
         let ran = runner.run(request).await;
         match &ran {
@@ -106,7 +114,7 @@
         ran
     }
 
-    async fn claim(&self, key: &str, fingerprint: &str) -> Result<Result<Held, Claim>, GaveUp> {
+    async fn claim(&self, key: &str, fingerprint: &str) -> Result<Begun, GaveUp> {
         let out = |error: &dyn std::fmt::Display| {
             warn!(self.log, "claim failed"; "error" => %error);
             GaveUp::not_run(NotRun::new(NotRunReason::ServiceOut, SERVICE_OUT_RETRY))
@@ -120,7 +128,7 @@
         let lease = lease.map_err(|error| out(&error))?;
         let claimed = claim::claim(self.kv.as_ref(), &key, owner, fingerprint, Some(lease)).await;
         match claimed.map_err(|error| out(&error))? {
-            Claimed::Mine { mod_revision } => Ok(Ok(Held {
+            Claimed::Mine { mod_revision } => Ok(Begun::Now(Held {
                 key,
                 claim: Claim {
                     owner,
@@ -130,7 +138,7 @@
                 mod_revision,
                 lease,
             })),
-            Claimed::Taken(earlier) => Ok(Err(earlier)),
+            Claimed::Taken(earlier) => Ok(Begun::Before(earlier)),
         }
     }
 
--- a/crates/dogwoodshunt_entry/src/control/inquiry.rs
+++ b/crates/dogwoodshunt_entry/src/control/inquiry.rs
@@ -54,7 +54,9 @@
                 let _ = reply.try_send(self.stop_problems(&target));
             }
             Inquiry::Standing { revision, reply } => {
-                let _ = reply.try_send(self.replica.standing(now, revision));
+                let mut standing = self.replica.standing(now, revision);
+                standing.in_force &= !self.may_be_switching(now, revision);
+                let _ = reply.try_send(standing);
             }
         }
     }
--- a/crates/dogwoodshunt_entry/src/control/mod.rs
+++ b/crates/dogwoodshunt_entry/src/control/mod.rs
@@ -17,6 +17,7 @@
 pub use crate::control::placing::Placement;
 pub use crate::control::placing::Wanted;
 
+use crate::control::switching::LastSwitch;
 use crate::control::switching::Switch;
 use crate::platform::WatcherOrders;
 use crate::port::Port;
@@ -156,6 +157,7 @@
     agents: HashMap<AgentKey, AgentProcess>,
     hosts_leaving: BTreeSet<Box<str>>,
     switching: HashMap<AdapterName, Switch>,
+    last_switch: Option<LastSwitch>,
     as_of: Option<Instant>,
     seen: Revision,
     heartbeat: Duration,
@@ -186,6 +188,7 @@
             agents,
             hosts_leaving: BTreeSet::new(),
             switching: HashMap::new(),
+            last_switch: None,
             as_of: None,
             seen: 0,
             heartbeat,
@@ -267,6 +270,7 @@
         self.violations.look(&self.around.log);
         self.as_of = self.replica.fresh_as_of(now);
         self.end_switches(now);
+        self.note_switch_accepted(now);
         if self.beat_due <= now {
             self.beat_due = now + self.heartbeat;
             self.beat_all(now);
--- a/crates/dogwoodshunt_entry/src/control/switching.rs
+++ b/crates/dogwoodshunt_entry/src/control/switching.rs
@@ -23,6 +23,13 @@
     until: Instant,
 }
 
+/// The newest note that moved bare names.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LastSwitch {
+    revision: Revision,
+    accepted_at: Option<Instant>,
+}
+
 impl Control {
     /// Notes the adapters that moved to a new version after `before`.
     pub(super) fn begin_switches(&mut self, before: Revision) {
@@ -35,12 +42,42 @@
             let Change::Release(note) = entry.change else {
                 continue;
             };
+            if !note.changed.is_empty() {
+                self.last_switch = Some(LastSwitch {
+                    revision: entry.revision,
+                    accepted_at: None,
+                });
+            }
             for spec in note.changed {
                 self.switching.insert(spec.adapter, Switch { until });
             }
         }
     }
 
+    /// Notes when the newest note that moved bare names is seen accepted.
+    pub(super) fn note_switch_accepted(&mut self, now: Instant) {
+        let Some(last) = self.last_switch.filter(|last| last.accepted_at.is_none()) else {
+            return;
+        };
+        if self.replica.standing(now, last.revision).accepted {
+            self.last_switch = Some(LastSwitch {
+                accepted_at: Some(now),
+                ..last
+            });
+        }
+    }
+
+    /// Returns whether some entry may still use a version that a note up to
+    /// `revision` replaced: any entry does so for at most [`SWITCH_LIMIT`]
+    /// after the acceptance.
+    pub(super) fn may_be_switching(&self, now: Instant, revision: Revision) -> bool {
+        let last = self.last_switch.filter(|last| last.revision <= revision);
+        last.is_some_and(|last| {
+            last.accepted_at
+                .is_none_or(|at| now.saturating_duration_since(at) < SWITCH_LIMIT)
+        })
+    }
+
     /// Ends the switches that are done or due.
     pub(super) fn end_switches(&mut self, now: Instant) {
         if self.switching.is_empty() {
--- a/crates/dogwoodshunt_proof/tests/releases.rs
+++ b/crates/dogwoodshunt_proof/tests/releases.rs
@@ -59,6 +59,39 @@
     });
 }
 
+#[test]
+fn bare_name_means_the_new_version_once_the_note_is_in_force() {
+    smol::block_on(async {
+        let cluster = Cluster::start(&Shape::default()).await.unwrap();
+        cluster.add_adapters("n1", &["roast"], "1").await;
+        let told = cluster
+            .caller(0)
+            .ask(&Question::adapter("t0", "roast"))
+            .await;
+        assert!(told.is_answered(), "{told:?}");
+        let mut change = move_on(1);
+        change.note.withdrawn.clear();
+        // The new version cannot be loaded, so entries stay with the old one
+        // for as long as they may.
+        for host in &cluster.agents {
+            let fail = serde_json::json!({"fail_loads": 1000});
+            let set = cluster.post_standin(host.engine, "/standin/faults", &fail);
+            set.await.unwrap();
+        }
+        let submitted = cluster.operator(0).submit(&change).await.unwrap();
+        cluster.wait_in_force(submitted.entry.revision).await;
+        for entry in 0..2 {
+            let question = Question::adapter(format!("t1-{entry}"), "roast");
+            let told = cluster.caller(entry).ask(&question).await;
+            assert!(
+                matches!(told, Told::NotRun { .. }),
+                "{told:?}\n{}",
+                cluster.logs()
+            );
+        }
+    });
+}
+
 #[test]
 fn cut_off_entry_refuses_rather_than_serve_an_older_catalogue() {
     smol::block_on(async {
