Show in the audit trail what was there before, whatever is listed

Change: the whole kept log is followed and only the wanted part shown; the state has a text of its own.

Before: `- -> 2`. After: `1 -> 2` (test audit_shows_what_was_there_before).

--- a/crates/dogwoodshunt_ctl/src/render.rs
+++ b/crates/dogwoodshunt_ctl/src/render.rs
@@ -6,15 +6,23 @@
 use dogwoodshunt_operator::messages::AgentState;
 use dogwoodshunt_operator::messages::Overview;
 use dogwoodshunt_replica::Standing;
+use dogwoodshunt_types::Revision;
 use std::fmt::Write;
 
-/// Returns the lines of an audit trail.
-pub fn audit(entries: &[LogEntry]) -> String {
+/// Returns the lines of an audit trail after revision `after`.
+///
+/// `entries` hold the log from its oldest kept entry, so that each change is
+/// shown with what was there before it.
+pub fn audit(entries: &[LogEntry], after: Revision) -> String {
     let mut text = String::new();
     let mut follower = Follower::default();
     for entry in entries {
+        let steps = follower.steps(entry);
+        if entry.revision <= after {
+            continue;
+        }
         let _ = writeln!(text, "{}", heading(entry));
-        for step in follower.steps(entry) {
+        for step in steps {
             let _ = writeln!(text, "    {}", step_line(&step));
         }
     }
@@ -33,6 +41,9 @@
 pub fn standing(standing: &Standing) -> String {
     let state = match (standing.accepted, standing.in_force) {
         (_, true) => "in force".to_owned(),
+        (true, false) if standing.missing.is_empty() => {
+            "accepted, bare names are moving to the new versions".to_owned()
+        }
         (true, false) => format!("accepted, missing at {}", standing.missing.join(", ")),
         (false, false) => "pending: in the log, not accepted yet".to_owned(),
     };
--- a/crates/dogwoodshunt_ctl/src/run.rs
+++ b/crates/dogwoodshunt_ctl/src/run.rs
@@ -194,7 +194,7 @@
         let entries = self.entries_after(0).await?;
         let shown = entries.iter().filter(|entry| entry.revision > args.after);
         let shown: Vec<LogEntry> = shown.cloned().collect();
-        Ok(self.report(&shown, render::audit(&shown)))
+        Ok(self.report(&shown, render::audit(&entries, args.after)))
     }
 
     async fn entries_after(&self, after: Revision) -> Result<Vec<LogEntry>, Report> {
--- a/crates/dogwoodshunt_ctl/src/tests.rs
+++ b/crates/dogwoodshunt_ctl/src/tests.rs
@@ -2,11 +2,14 @@
 
 use crate::cli::Cli;
 use crate::diff::diff;
+use crate::render;
 use clap::CommandFactory;
 use dogwoodshunt_catalogue::AdapterSpec;
 use dogwoodshunt_catalogue::Change;
 use dogwoodshunt_catalogue::LogEntry;
 use dogwoodshunt_catalogue::ReleaseNote;
+use dogwoodshunt_replica::Standing;
+use rstest::rstest;
 
 fn entry(revision: u64, version: &str) -> LogEntry {
     let spec = AdapterSpec::builder()
@@ -36,6 +39,36 @@
     Cli::command().debug_assert();
 }
 
+#[rstest]
+#[case(true, true, &[], "in force")]
+#[case(true, false, &["host-1"], "missing at host-1")]
+#[case(true, false, &[], "bare names are moving")]
+#[case(false, false, &["host-1"], "pending")]
+fn standing_says_what_is_awaited(
+    #[case] accepted: bool,
+    #[case] in_force: bool,
+    #[case] missing: &[&str],
+    #[case] part: &str,
+) {
+    let standing = Standing {
+        revision: 3,
+        accepted,
+        in_force,
+        missing: missing.iter().map(|node| (*node).into()).collect(),
+        live: 3,
+    };
+    let text = render::standing(&standing);
+    assert!(text.contains(part), "{text}");
+}
+
+#[test]
+fn audit_shows_what_was_there_before_even_if_that_entry_is_not_listed() {
+    let entries = [entry(1, "1"), entry(2, "2")];
+    let text = render::audit(&entries, 1);
+    assert!(text.contains("roast: 1 -> 2"), "{text}");
+    assert_eq!(text.lines().count(), 2);
+}
+
 #[test]
 fn diff_joins_the_changes_of_one_adapter() {
     let entries = [entry(1, "1"), entry(2, "2"), entry(3, "3")];
