Keep answers of claims as base64, and measure claims

Ruled out: CBOR for claims; the other records are JSON that operators can read with the platform's own tools.

Before: 4.00 bytes a byte; after: 1.33. Test kept_answer_comes_back_byte_for_byte_and_stays_small.

--- a/crates/dogwoodshunt_load/src/slopes/frames.rs
+++ b/crates/dogwoodshunt_load/src/slopes/frames.rs
@@ -5,6 +5,9 @@
 use dogwoodshunt_freshness::Summary;
 use dogwoodshunt_freshness::freshness::WitnessState;
 use dogwoodshunt_residency::report::ReportUpdate;
+use dogwoodshunt_store::claim::Claim;
+use dogwoodshunt_store::claim::KeptAnswer;
+use dogwoodshunt_store::claim::State;
 use dogwoodshunt_types::Priority;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::codec;
@@ -56,6 +59,11 @@
                 data: vec![b'x'; bytes].into(),
             }),
         ),
+        Slope::fit(
+            "claim in the key-value service",
+            "bytes by bytes of the kept answer",
+            claim_points(&[0, 100, 1_000, 10_000]),
+        ),
         Slope::fit(
             "acknowledgement",
             "bytes by number of the part",
@@ -75,6 +83,24 @@
     measured.collect()
 }
 
+fn claim_points(sizes: &[usize]) -> Vec<(f64, f64)> {
+    let measured = sizes.iter().map(|size| {
+        let claim = Claim {
+            owner: sample::request(1),
+            fingerprint: "0123456789abcdef".repeat(4).into(),
+            state: State::Ran(KeptAnswer {
+                status: 200,
+                content_type: Some("application/json".into()),
+                ran: "services/dispatch".into(),
+                body: vec![b'x'; *size],
+            }),
+        };
+        let bytes = serde_json::to_vec(&claim).map_or(0, |bytes| bytes.len());
+        (*size as f64, bytes as f64)
+    });
+    measured.collect()
+}
+
 /// Returns a heartbeat of an agent with `ready` adapters, or of an entry for 0.
 pub fn beat(witnesses: usize, ready: usize, entries: usize) -> Frame {
     let state = WitnessState {
--- a/crates/dogwoodshunt_store/src/claim.rs
+++ b/crates/dogwoodshunt_store/src/claim.rs
@@ -42,7 +42,8 @@
     pub content_type: Option<Box<str>>,
     /// What ran.
     pub ran: Box<str>,
-    /// Body of the answer.
+    /// Body of the answer; base64 in the service's value.
+    #[serde(with = "crate::base64_bytes")]
     pub body: Vec<u8>,
 }
 
--- a/crates/dogwoodshunt_store/src/lib.rs
+++ b/crates/dogwoodshunt_store/src/lib.rs
@@ -7,6 +7,7 @@
 //! Read [`log`] for configuration changes and [`compact`] for snapshots, then
 //! [`ownership`] for fencing numbers and [`claim`] for idempotency keys.
 
+mod base64_bytes;
 pub mod claim;
 pub mod compact;
 pub mod log;
--- a/crates/dogwoodshunt_store/src/tests.rs
+++ b/crates/dogwoodshunt_store/src/tests.rs
@@ -2,7 +2,10 @@
 
 use crate::LogStore;
 use crate::claim;
+use crate::claim::Claim;
 use crate::claim::Claimed;
+use crate::claim::KeptAnswer;
+use crate::claim::State;
 use crate::compact::Step;
 use crate::log::Proposal;
 use crate::log::StoreError;
@@ -138,6 +141,30 @@
     assert!(matches!(second, Claimed::Taken(held) if held.owner == request(1)));
 }
 
+#[test]
+fn kept_answer_comes_back_byte_for_byte_and_stays_small() {
+    let kv = MemoryKv::new();
+    let claimed = block_on(claim::claim(&kv, "k", request(1), "f", None)).unwrap();
+    let Claimed::Mine { mod_revision } = claimed else {
+        panic!("{claimed:?}");
+    };
+    let body: Vec<u8> = (0..=u8::MAX).cycle().take(10_000).collect();
+    let settled = Claim {
+        owner: request(1),
+        fingerprint: "f".into(),
+        state: State::Ran(KeptAnswer {
+            status: 200,
+            content_type: None,
+            ran: "services/dispatch".into(),
+            body,
+        }),
+    };
+    assert!(serde_json::to_vec(&settled).unwrap().len() < 14_000);
+    block_on(claim::settle(&kv, "k", &settled, mod_revision, None)).unwrap();
+    let again = block_on(claim::claim(&kv, "k", request(2), "f", None)).unwrap();
+    assert_eq!(again, Claimed::Taken(settled));
+}
+
 #[test]
 fn claim_fails_while_the_service_is_out() {
     let kv = MemoryKv::new();
