--- /dev/null
+++ b/crates/dogwoodshunt_load/src/slopes/sample.rs
@@ -0,0 +1,118 @@
+//! Sample values of the sizes that are measured.
+
+use dogwoodshunt_catalogue::AdapterSpec;
+use dogwoodshunt_catalogue::Catalogue;
+use dogwoodshunt_catalogue::Change;
+use dogwoodshunt_catalogue::LogEntry;
+use dogwoodshunt_catalogue::ReleaseNote;
+use dogwoodshunt_catalogue::release::MAX_NOTE_ADAPTERS;
+use dogwoodshunt_freshness::freshness::witness_id;
+use dogwoodshunt_residency::Report;
+use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::report::Serves;
+use dogwoodshunt_residency::report::UpstreamReport;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::RequestId;
+use dogwoodshunt_wire::frame::Identity;
+use std::time::Duration;
+
+/// Base model of the samples.
+pub const BASE_MODEL: &str = "llama-base-70b";
+
+/// Returns an adapter of realistic length.
+pub fn adapter(number: usize) -> AdapterRef {
+    AdapterRef::new(&format!("desk-adapter-{number:05}"), "2026-12-04.1")
+}
+
+/// Returns the specification of an adapter.
+pub fn spec(number: usize) -> AdapterSpec {
+    let adapter = adapter(number);
+    AdapterSpec::builder()
+        .adapter(adapter.name)
+        .version(adapter.version)
+        .base_model(BASE_MODEL)
+        .source(format!("s3://weights/desk/{number:05}/2026-12-04.1"))
+        .digest("sha256:0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef")
+        .build()
+}
+
+/// Returns a log entry that adds adapters.
+pub fn adding(revision: u64, numbers: std::ops::Range<usize>) -> LogEntry {
+    let note = ReleaseNote::builder()
+        .id(format!("note-{revision}"))
+        .author("operator")
+        .based_on(revision - 1)
+        .added(numbers.map(spec).collect::<Vec<_>>())
+        .build();
+    LogEntry {
+        revision,
+        id: note.id.clone(),
+        author: note.author.clone(),
+        written_at: 1_796_351_163_704,
+        change: Change::Release(note),
+    }
+}
+
+/// Returns a catalogue of `count` adapters, as read from a snapshot.
+pub fn catalogue(count: usize) -> Catalogue {
+    let mut catalogue = Catalogue::new();
+    for first in (0..count).step_by(MAX_NOTE_ADAPTERS) {
+        let revision = catalogue.revision() + 1;
+        let entry = adding(revision, first..(first + MAX_NOTE_ADAPTERS).min(count));
+        let applied = catalogue.apply(&entry);
+        debug_assert!(applied.is_ok());
+    }
+    let shards = dogwoodshunt_catalogue::snapshot::split(&catalogue);
+    dogwoodshunt_catalogue::snapshot::assemble(shards).unwrap_or_default()
+}
+
+/// Returns who a node is.
+pub fn identity(number: usize) -> Identity {
+    Identity {
+        node: format!("host-{number:04}.region-2.example").into(),
+        boot: 1_883_000_000_000_000_000 + number as u64,
+        domain: format!("region-2-domain-{}", number % 13).into(),
+    }
+}
+
+/// Returns the ids of `count` witnesses.
+pub fn witnesses(count: usize) -> Vec<Box<str>> {
+    let identities = (0..count).map(identity);
+    identities.map(|id| witness_id(&id.node, id.boot)).collect()
+}
+
+/// Returns a load report of an agent with one engine and `ready` adapters.
+pub fn report(ready: usize) -> Report {
+    let upstream = UpstreamReport {
+        name: "runner-0001".into(),
+        serves: Serves::BaseModel(BASE_MODEL.into()),
+        takes_work: true,
+        running: 24,
+        batch: 32,
+        slots: 32,
+        ready: (0..ready).map(adapter).collect(),
+        loading: vec![adapter(ready)],
+    };
+    Report {
+        upstreams: vec![upstream],
+        queued: 3,
+        mean_run: Duration::from_millis(9_000),
+        wants: Vec::new(),
+    }
+}
+
+/// Returns a target.
+pub fn target(number: usize) -> Target {
+    Target::Adapter {
+        adapter: adapter(number),
+        base_model: BASE_MODEL.into(),
+    }
+}
+
+/// Returns the id of an attempt.
+pub fn request(number: u64) -> RequestId {
+    RequestId {
+        entry_boot: 1_883_000_000_000_000_000,
+        number,
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_load/src/slopes/work.rs
@@ -0,0 +1,177 @@
+//! Processor time of decisions and codecs.
+
+use crate::slopes::fit::Slope;
+use crate::slopes::frames;
+use crate::slopes::sample;
+use crate::slopes::state::ADAPTERS;
+use crate::slopes::state::Open;
+use crate::slopes::state::PEERS;
+use crate::slopes::state::residency_with_jobs;
+use crate::slopes::state::router_with_agents;
+use dogwoodshunt_grants::Granter;
+use dogwoodshunt_replica::Replica;
+use dogwoodshunt_residency::LoadWant;
+use dogwoodshunt_residency::Report;
+use dogwoodshunt_routing::Ask;
+use dogwoodshunt_types::Priority;
+use dogwoodshunt_wire::Frame;
+use dogwoodshunt_wire::codec;
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time for which each point is measured.
+const MEASURED: Duration = Duration::from_millis(60);
+
+/// Measures the slopes of processor time.
+pub fn measure() -> Vec<Slope> {
+    vec![
+        Slope::fit(
+            "encode and decode a heartbeat of an agent",
+            "us by ready adapters, 39 witnesses",
+            points(&[4, 8, 16, 32], |ready| {
+                let frame = frames::beat(39, ready, 0);
+                move || {
+                    let bytes = codec::encode(&frame).unwrap_or_default();
+                    black_box(codec::decode(&bytes).is_ok());
+                }
+            }),
+        ),
+        Slope::fit(
+            "take in a heartbeat",
+            "us by witnesses",
+            points(&[0, 12, 24, 39], take_in_beat),
+        ),
+        Slope::fit(
+            "choose an agent",
+            "us by agents with 32 adapters each",
+            points(&PEERS, choose_agent),
+        ),
+        Slope::fit(
+            "plan of an agent",
+            "us by queued requests",
+            points(&[10, 100, 400, 1_000], plan),
+        ),
+        Slope::fit(
+            "decide on loads",
+            "us by agents with 16 wants each",
+            points(&PEERS, decide_loads),
+        ),
+        Slope::fit(
+            "apply a note of one adapter",
+            "us by adapters in the catalogue",
+            points(&ADAPTERS, apply_note),
+        ),
+        Slope::fit(
+            "copy the catalogue for an operator's submission",
+            "us by adapters in the catalogue",
+            points(&ADAPTERS, |count| {
+                let catalogue = sample::catalogue(count);
+                move || {
+                    black_box(catalogue.clone());
+                }
+            }),
+        ),
+        Slope::fit(
+            "encode and decode a part of an answer",
+            "us by bytes of body",
+            points(&[100, 200, 400, 1_000], |bytes| {
+                let frame = Frame::Chunk {
+                    request: sample::request(1),
+                    number: 100,
+                    data: vec![b'x'; bytes].into(),
+                };
+                move || {
+                    let bytes = codec::encode(&frame).unwrap_or_default();
+                    black_box(codec::decode(&bytes).is_ok());
+                }
+            }),
+        ),
+    ]
+}
+
+/// Returns the time of one call of what `make` returns, in microseconds.
+fn points<F: FnMut()>(sizes: &[usize], make: impl Fn(usize) -> F) -> Vec<(f64, f64)> {
+    let measured = sizes.iter().map(|size| {
+        let mut call = make(*size);
+        call();
+        let begun = Instant::now();
+        let mut calls = 0_u32;
+        while begun.elapsed() < MEASURED {
+            call();
+            calls += 1;
+        }
+        let micros = begun.elapsed().as_secs_f64() * 1e6 / f64::from(calls);
+        (*size as f64, micros)
+    });
+    measured.collect()
+}
+
+fn take_in_beat(witnesses: usize) -> impl FnMut() {
+    let now = Instant::now();
+    let mut replica = Replica::new(sample::identity(9_999), Duration::from_secs(3));
+    let key = replica.add_peer(sample::identity(1));
+    let Frame::Beat(beat) = frames::beat(witnesses, 8, 0) else {
+        unreachable!("frames::beat returns a heartbeat");
+    };
+    move || {
+        black_box(replica.on_beat(now, key, &beat));
+        black_box(replica.beat(now, key));
+    }
+}
+
+fn choose_agent(agents: usize) -> impl FnMut() {
+    let now = Instant::now();
+    let mut router = router_with_agents(agents);
+    let target = sample::target(5);
+    move || {
+        let ask = Ask {
+            target: &target,
+            deadline: None,
+            excluded: &[],
+        };
+        if let Ok(agent) = router.route(now, &ask) {
+            router.on_end(agent, &target);
+        }
+    }
+}
+
+fn plan(queued: usize) -> impl FnMut() {
+    let now = Instant::now();
+    let mut residency = residency_with_jobs(queued);
+    move || {
+        black_box(residency.plan(now, &Open).len());
+    }
+}
+
+fn decide_loads(agents: usize) -> impl FnMut() {
+    let now = Instant::now();
+    let mut granter = Granter::new(dogwoodshunt_grants::Settings::default());
+    for agent in 0..agents {
+        let wants = (0..16).map(|n| LoadWant {
+            adapter: sample::adapter(agent * 16 + n),
+            waiting: 1,
+            oldest: Duration::from_millis(100),
+            priority: Priority::Normal,
+        });
+        let report = Report {
+            wants: wants.collect(),
+            ..sample::report(8)
+        };
+        granter.on_report(now, agent, &report);
+    }
+    // The first call takes the tokens; later ones still look at all wants.
+    move || {
+        black_box(granter.decide(now).len());
+    }
+}
+
+fn apply_note(adapters: usize) -> impl FnMut() {
+    let mut catalogue = sample::catalogue(adapters);
+    move || {
+        let revision = catalogue.revision() + 1;
+        let number = 100_000 + revision as usize;
+        let entry = sample::adding(revision, number..number + 1);
+        black_box(catalogue.apply(&entry).is_ok());
+    }
+}
--- a/crates/dogwoodshunt_residency/src/tests.rs
+++ b/crates/dogwoodshunt_residency/src/tests.rs
@@ -1,1 +1,4 @@
 //! Tests of the agent's decisions.
+
+mod focused;
+mod randomised;
