--- a/crates/dogwoodshunt_agent/src/agent.rs
+++ b/crates/dogwoodshunt_agent/src/agent.rs
@@ -3,7 +3,6 @@
 use crate::control::Control;
 use crate::control::Event;
 use crate::control::Surroundings;
-use crate::ownership::OwnershipWorker;
 use crate::settings::AgentSettings;
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -12,6 +11,7 @@
 use dogwoodshunt_runtime::boot::draw_boot_id;
 use dogwoodshunt_runtime::link;
 use dogwoodshunt_runtime::link::Credentials;
+use dogwoodshunt_runtime::ownership::OwnershipWorker;
 use dogwoodshunt_runtime::traffic::Traffic;
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_wire::frame::Identity;
--- a/crates/dogwoodshunt_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_agent/src/control/links.rs
@@ -138,13 +138,18 @@
                 }
             }
             Frame::Submit(submit) => self.on_submit(now, key, *submit),
-            Frame::Challenge(_)
+            Frame::Admit(_)
+            | Frame::Admitted { .. }
+            | Frame::Challenge(_)
             | Frame::Chunk { .. }
+            | Frame::Done { .. }
             | Frame::End { .. }
             | Frame::Failed { .. }
+            | Frame::FirstByte { .. }
             | Frame::Head { .. }
             | Frame::Hello(_)
             | Frame::NotRun { .. }
+            | Frame::Terms(_)
             | Frame::Welcome { .. } => self.on_link_down(now, key),
         }
     }
--- a/crates/dogwoodshunt_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_agent/src/control/mod.rs
@@ -27,6 +27,7 @@
 use dogwoodshunt_residency::orders::OrderEnd;
 use dogwoodshunt_residency::orders::ProbeAnswer;
 use dogwoodshunt_runtime::link::Link;
+use dogwoodshunt_runtime::ownership::Ownership;
 use dogwoodshunt_runtime::telemetry::ViolationWatch;
 use dogwoodshunt_runtime::traffic::Traffic;
 use dogwoodshunt_types::AdapterRef;
@@ -37,6 +38,7 @@
 use dogwoodshunt_wire::frame::Submit;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use slotmap::SlotMap;
 use smol::Timer;
 use smol::future::FutureExt;
@@ -87,11 +89,8 @@
         /// How it ended.
         end: OrderEnd,
     },
-    /// This process owns the upstreams.
-    Owned {
-        /// Fencing number of its orders.
-        epoch: Epoch,
-    },
+    /// Whether this process owns the upstreams.
+    Ownership(Ownership),
     /// An upstream answered a probe.
     Probed {
         /// The upstream.
@@ -110,8 +109,6 @@
     },
     /// The operator or the platform asks the process to stop.
     Stop,
-    /// Another process owns the upstreams.
-    Superseded,
     /// An unload order has ended.
     UnloadEnded {
         /// Upstream that was ordered.
@@ -128,6 +125,12 @@
     },
 }
 
+impl From<Ownership> for Event {
+    fn from(ownership: Ownership) -> Self {
+        Self::Ownership(ownership)
+    }
+}
+
 /// What the control thread needs to reach the rest of the process.
 pub struct Surroundings {
     /// Traffic threads.
@@ -242,7 +245,8 @@
                 let actions = self.residency.on_load_end(now, upstream, &adapter, end);
                 self.carry_out(now, actions);
             }
-            Event::Owned { epoch } => self.on_owned(epoch),
+            Event::Ownership(Ownership::Owned { epoch }) => self.on_owned(epoch),
+            Event::Ownership(Ownership::Superseded) => self.residency.set_owned(false),
             Event::Probed { upstream, answer } => {
                 self.residency.on_probe(now, upstream, &answer);
             }
@@ -252,7 +256,6 @@
                 ended,
             } => self.on_run_ended(now, job, upstream, ended),
             Event::Stop => self.on_stop(now),
-            Event::Superseded => self.residency.set_owned(false),
             Event::UnloadEnded {
                 upstream,
                 adapter,
@@ -278,6 +281,9 @@
             match action {
                 Action::CancelRun { job } => self.cancel_run(job),
                 Action::Dispatch { job, upstream } => self.start_run(job, upstream),
+                Action::LoadBase { .. } => {
+                    warn!(self.around.log, "engine without its base model");
+                }
                 Action::Load { upstream, adapter } => self.order_load(upstream, adapter),
                 Action::NotRun { job, refused } => self.on_refused(now, job, &refused),
                 Action::Probe { upstream } => self.order(upstream, Order::Probe),
--- a/crates/dogwoodshunt_agent/src/control/tests.rs
+++ b/crates/dogwoodshunt_agent/src/control/tests.rs
@@ -8,6 +8,7 @@
 use async_channel::Receiver;
 use dogwoodshunt_border::http::Client;
 use dogwoodshunt_runtime::link::Link;
+use dogwoodshunt_runtime::ownership::Ownership;
 use dogwoodshunt_runtime::settings;
 use dogwoodshunt_runtime::telemetry;
 use dogwoodshunt_types::Outcome;
@@ -115,7 +116,7 @@
     let start = Instant::now();
     let mut control = control(start);
     control.replica.on_service(start, 0);
-    control.handle(start, Event::Owned { epoch: 1 });
+    control.handle(start, Event::Ownership(Ownership::Owned { epoch: 1 }));
     control.tick(start);
     let owned = |control: &Control| control.residency.upstreams().all(|(_, u)| u.owned);
     assert!(owned(&control));
@@ -124,6 +125,6 @@
     control.replica.on_service(woken, 0);
     control.tick(woken);
     assert!(!owned(&control));
-    control.handle(woken, Event::Owned { epoch: 1 });
+    control.handle(woken, Event::Ownership(Ownership::Owned { epoch: 1 }));
     assert!(owned(&control));
 }
--- a/crates/dogwoodshunt_agent/src/lib.rs
+++ b/crates/dogwoodshunt_agent/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod control;
 pub mod orders;
 pub mod output;
-pub mod ownership;
 pub mod run;
 pub mod settings;
 mod sse;
--- a/crates/dogwoodshunt_agent/src/orders.rs
+++ b/crates/dogwoodshunt_agent/src/orders.rs
@@ -165,6 +165,8 @@
         Ok(ProbeAnswer {
             boot: holdings.boot,
             room: self.room,
+            has_base: true,
+            incoming: None,
             resident: holdings.adapters,
         })
     }
@@ -186,6 +188,8 @@
         Ok(ProbeAnswer {
             boot: 0,
             room: self.room,
+            has_base: true,
+            incoming: None,
             resident: Vec::new(),
         })
     }
--- a/crates/dogwoodshunt_agent/src/run.rs
+++ b/crates/dogwoodshunt_agent/src/run.rs
@@ -164,10 +164,10 @@
         };
         let success = response.status().is_success();
         match &self.submit.target {
-            Target::Adapter { .. } if success && is_stream => {
+            Target::Adapter { .. } | Target::BaseModel(_) if success && is_stream => {
                 self.pass_on_events(head, response.into_body()).await
             }
-            Target::Adapter { .. } => {
+            Target::Adapter { .. } | Target::BaseModel(_) => {
                 self.pass_on_whole(head, response.into_body(), success)
                     .await
             }
--- a/crates/dogwoodshunt_agent/src/settings.rs
+++ b/crates/dogwoodshunt_agent/src/settings.rs
@@ -104,14 +104,8 @@
     pub fn room(&self) -> Room {
         let size = |value: u64| usize::try_from(value).unwrap_or(usize::MAX);
         match &self.serves {
-            ServesSettings::Engine { slots, batch, .. } => Room {
-                slots: size(*slots),
-                batch: size(*batch),
-            },
-            ServesSettings::Service { concurrency, .. } => Room {
-                slots: 0,
-                batch: size(*concurrency),
-            },
+            ServesSettings::Engine { slots, batch, .. } => Room::new(size(*slots), size(*batch)),
+            ServesSettings::Service { concurrency, .. } => Room::new(0, size(*concurrency)),
         }
     }
 
--- a/crates/dogwoodshunt_border/src/http/body.rs
+++ b/crates/dogwoodshunt_border/src/http/body.rs
@@ -5,6 +5,7 @@
 use http_body_util::Full;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
+use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Body;
 use snafu::Snafu;
@@ -52,6 +53,15 @@
     ChannelBody { rx: Box::pin(rx) }.boxed_unsync()
 }
 
+/// Returns a body that yields what `chunks` yields; an error breaks it off.
+pub fn stream<S>(chunks: S) -> AnswerBody
+where
+    S: smol::stream::Stream<Item = Result<Bytes, BrokenOff>> + Send + 'static,
+{
+    let frames = smol::stream::StreamExt::map(chunks, |chunk| chunk.map(hyper::body::Frame::data));
+    StreamBody::new(frames).boxed_unsync()
+}
+
 struct ChannelBody {
     rx: Pin<Box<async_channel::Receiver<Result<Bytes, BrokenOff>>>>,
 }
--- a/crates/dogwoodshunt_border/src/kv/mod.rs
+++ b/crates/dogwoodshunt_border/src/kv/mod.rs
@@ -9,6 +9,7 @@
 
 use snafu::Snafu;
 use std::future::Future;
+use std::time::Duration;
 
 pub use crate::kv::etcd::Etcd;
 
@@ -133,6 +134,67 @@
     }
 }
 
+/// Everything under a prefix at one moment.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Listing {
+    /// The records, in order of their keys.
+    pub records: Vec<Record>,
+    /// Revision of the service that the records are at least of.
+    pub revision: i64,
+}
+
+/// One change under a prefix.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A key was written.
+    Put(Record),
+    /// A key was deleted.
+    Deleted {
+        /// The key.
+        key: Box<str>,
+        /// Revision of the deletion.
+        revision: i64,
+    },
+}
+
+impl Change {
+    /// Returns the revision of the change.
+    pub fn revision(&self) -> i64 {
+        match self {
+            Self::Put(record) => record.mod_revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
+/// What a watch found.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Watched {
+    /// Changes in order; none if the wait has passed without any.
+    Changes(Vec<Change>),
+    /// The history after the given revision is no longer kept.
+    Compacted,
+}
+
+/// A key-value service whose changes can be followed.
+pub trait WatchKv: Kv {
+    /// Reads everything under `prefix`.
+    fn list(
+        &self,
+        step: &'static str,
+        prefix: &str,
+    ) -> impl Future<Output = Result<Listing, KvError>> + Send;
+
+    /// Waits up to `wait` for changes under `prefix` after revision `after`.
+    fn watch(
+        &self,
+        step: &'static str,
+        prefix: &str,
+        after: i64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Watched, KvError>> + Send;
+}
+
 /// Returns the key after the last key that starts with `prefix`.
 pub fn prefix_end(prefix: &str) -> String {
     format!("{prefix}\x7f")
--- a/crates/dogwoodshunt_entry/src/control/agents.rs
+++ b/crates/dogwoodshunt_entry/src/control/agents.rs
@@ -57,17 +57,22 @@
                 }
             }
             Frame::Ack { .. }
+            | Frame::Admit(_)
+            | Frame::Admitted { .. }
             | Frame::Cancel { .. }
             | Frame::Challenge(_)
             | Frame::Chunk { .. }
+            | Frame::Done { .. }
             | Frame::End { .. }
             | Frame::Failed { .. }
+            | Frame::FirstByte { .. }
             | Frame::Grant { .. }
             | Frame::Head { .. }
             | Frame::Hello(_)
             | Frame::NotRun { .. }
             | Frame::Resume { .. }
             | Frame::Submit(_)
+            | Frame::Terms(_)
             | Frame::Welcome { .. } => {
                 info!(self.around.log, "unexpected frame"; "agent" => self.name_of(agent));
             }
--- a/crates/dogwoodshunt_entry/src/control/placing.rs
+++ b/crates/dogwoodshunt_entry/src/control/placing.rs
@@ -3,6 +3,7 @@
 use crate::control::Control;
 use crate::port::Port;
 use dogwoodshunt_catalogue::Missing;
+use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::Ask;
@@ -88,6 +89,7 @@
                 target: &target,
                 deadline: ask.deadline,
                 excluded: &ask.excluded,
+                demand: &Demand::default(),
             },
         );
         let agent = routed.map_err(Declined::NotRun)?;
--- /dev/null
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -0,0 +1,258 @@
+//! The agents beside engines: connections, heartbeats and what is told them.
+
+use crate::control::Control;
+use crate::ports::Decoder;
+use async_channel::Sender;
+use dogwoodshunt_routing::AgentKey;
+use dogwoodshunt_serving::registry::Listed;
+use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_wire::Frame;
+use dogwoodshunt_wire::frame::Beat;
+use dogwoodshunt_wire::frame::Identity;
+use dogwoodshunt_wire::frame::Terms;
+use dogwoodshunt_wire::frame::UpstreamIdentity;
+use slog::info;
+use slog::warn;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Heartbeats of an agent that may fail to come before its connection is
+/// closed; a connection that went silent shows by nothing else.
+const MISSED_BEATS: u32 = 3;
+
+/// What this entry knows of an agent.
+pub(super) struct AgentState {
+    address: SocketAddr,
+    service: ServiceName,
+    upstream: Option<Listed>,
+    identity: Option<Identity>,
+    tx: Option<Sender<Frame>>,
+    heard: Instant,
+    number: u64,
+    echo: u64,
+    leaving: bool,
+    // Dropping the task ends the connection for good.
+    _connector: smol::Task<()>,
+}
+
+impl<D: Decoder> Control<D> {
+    /// Connects to the agents of a service's engines, and notes which leave.
+    pub(super) fn apply_engines<'a>(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        listed: impl Iterator<Item = &'a Listed>,
+    ) {
+        let mut current: Vec<&Listed> = listed.collect();
+        // Of two starts at one address the later one runs.
+        current.sort_by_key(|listed| listed.started);
+        for upstream in &current {
+            let agent = self.agent_of(now, service, upstream);
+            let Some(state) = self.agents.get_mut(&agent) else {
+                continue;
+            };
+            if state.upstream.as_ref() != Some(*upstream) {
+                state.upstream = Some((*upstream).clone());
+                self.tell_terms(agent);
+            }
+        }
+        let gone: Vec<AgentKey> = self
+            .agents
+            .iter()
+            .filter(|(_, state)| state.service == *service)
+            .filter(|(_, state)| {
+                let held = state.upstream.as_ref();
+                held.is_some_and(|held| !current.iter().any(|listed| listed.name == held.name))
+            })
+            .map(|(agent, _)| *agent)
+            .collect();
+        for agent in gone {
+            if let Some(state) = self.agents.get_mut(&agent) {
+                state.upstream = None;
+            }
+        }
+        self.apply_leaving();
+    }
+
+    fn agent_of(&mut self, now: Instant, service: &ServiceName, upstream: &Listed) -> AgentKey {
+        let address = SocketAddr::new(upstream.address.ip(), self.limits.agent_port);
+        if let Some(agent) = self.by_address.get(&address) {
+            return *agent;
+        }
+        let agent = self.router.add_agent(address.to_string().into());
+        let state = AgentState {
+            address,
+            service: service.clone(),
+            upstream: None,
+            identity: None,
+            tx: None,
+            heard: now,
+            number: 0,
+            echo: 0,
+            leaving: false,
+            _connector: self.connect(agent, address),
+        };
+        self.agents.insert(agent, state);
+        self.by_address.insert(address, agent);
+        agent
+    }
+
+    fn apply_leaving(&mut self) {
+        for (agent, state) in &self.agents {
+            let staying = state.upstream.as_ref().is_some_and(|u| !u.leaving);
+            self.router.set_leaving(*agent, !staying || state.leaving);
+        }
+    }
+
+    pub(super) fn on_agent_up(
+        &mut self,
+        now: Instant,
+        agent: AgentKey,
+        identity: Identity,
+        tx: Sender<Frame>,
+    ) {
+        let Some(state) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        state.identity = Some(identity.clone());
+        state.tx = Some(tx);
+        state.heard = now;
+        state.leaving = false;
+        self.router.set_node(agent, identity.node);
+        self.tell_terms(agent);
+        self.readmit(now, agent);
+    }
+
+    pub(super) fn on_agent_down(&mut self, now: Instant, agent: AgentKey) {
+        let Some(state) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        if let Some(tx) = state.tx.take() {
+            tx.close();
+        }
+        self.router.set_usable(agent, false);
+        self.replace_waiting(now, agent);
+    }
+
+    pub(super) fn on_frame(&mut self, now: Instant, agent: AgentKey, frame: Frame) {
+        let Some(state) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        state.heard = now;
+        match frame {
+            Frame::Admitted {
+                request,
+                upstream,
+                target,
+            } => self.on_admitted(now, agent, request, upstream, target),
+            Frame::Beat(beat) => self.on_beat(now, agent, *beat),
+            Frame::NotRun { request, not_run } => self.on_declined(now, agent, request, not_run),
+            Frame::Ack { .. }
+            | Frame::Admit(_)
+            | Frame::Cancel { .. }
+            | Frame::Challenge(_)
+            | Frame::Chunk { .. }
+            | Frame::Done { .. }
+            | Frame::End { .. }
+            | Frame::Entries { .. }
+            | Frame::Failed { .. }
+            | Frame::FirstByte { .. }
+            | Frame::Grant { .. }
+            | Frame::Head { .. }
+            | Frame::Hello(_)
+            | Frame::Pull { .. }
+            | Frame::Resume { .. }
+            | Frame::Snapshot { .. }
+            | Frame::Submit(_)
+            | Frame::Terms(_)
+            | Frame::Welcome { .. } => {
+                warn!(self.around.log, "unexpected frame"; "agent" => %state.address);
+            }
+        }
+    }
+
+    fn on_beat(&mut self, now: Instant, agent: AgentKey, beat: Beat) {
+        let Some(state) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        state.echo = beat.number;
+        if state.leaving != beat.leaving {
+            info!(self.around.log, "agent leaving"; "agent" => %state.address,
+                "leaving" => beat.leaving);
+            state.leaving = beat.leaving;
+        }
+        self.budgets.on_entries(now, beat.entries);
+        if let Some(update) = beat.report {
+            self.router.on_report(now, agent, update);
+            self.router.set_usable(agent, true);
+        }
+        self.apply_leaving();
+    }
+
+    pub(super) fn send(&self, agent: AgentKey, frame: Frame) -> bool {
+        let tx = self.agents.get(&agent).and_then(|state| state.tx.as_ref());
+        tx.is_some_and(|tx| tx.try_send(frame).is_ok())
+    }
+
+    /// Returns the address of an agent's engine.
+    pub(super) fn engine_address(&self, agent: AgentKey) -> Option<SocketAddr> {
+        let upstream = self.agents.get(&agent)?.upstream.as_ref()?;
+        Some(upstream.address)
+    }
+
+    pub(super) fn beat_all(&mut self, now: Instant) {
+        let limit = self.limits.heartbeat * MISSED_BEATS;
+        let mut silent = Vec::new();
+        for (agent, state) in &mut self.agents {
+            let Some(tx) = &state.tx else { continue };
+            if now.saturating_duration_since(state.heard) >= limit {
+                silent.push(*agent);
+                continue;
+            }
+            state.number += 1;
+            let beat = Beat {
+                number: state.number,
+                echo: state.echo,
+                fresh: true,
+                leaving: self.stopping,
+                ..Beat::default()
+            };
+            // A closed connection is reported by its receiver.
+            let _ = tx.try_send(Frame::Beat(Box::new(beat)));
+        }
+        for agent in silent {
+            warn!(self.around.log, "agent silent"; "agent" => ?agent);
+            self.on_agent_down(now, agent);
+        }
+    }
+
+    pub(super) fn tell_terms_to_all(&mut self) {
+        let agents: Vec<AgentKey> = self.agents.keys().copied().collect();
+        agents.into_iter().for_each(|agent| self.tell_terms(agent));
+    }
+
+    /// Tells an agent what is in force for its engine.
+    fn tell_terms(&self, agent: AgentKey) {
+        let (Some(state), Some(table)) = (self.agents.get(&agent), self.around.status.routes())
+        else {
+            return;
+        };
+        let config = table.config();
+        let service = config.service(&state.service);
+        let Some(engine) = service.and_then(|service| service.engine.clone()) else {
+            return;
+        };
+        let upstream = state.upstream.as_ref().map(|listed| UpstreamIdentity {
+            name: listed.name.clone(),
+            started: listed.started,
+            leaving: listed.leaving,
+        });
+        let terms = Terms {
+            revision: config.revision,
+            upstream,
+            engine,
+            versions: self.versions.values().cloned().collect(),
+        };
+        self.send(agent, Frame::Terms(Box::new(terms)));
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_gateway/src/control/placing.rs
@@ -0,0 +1,316 @@
+//! Placing of model requests: which agent is asked, and what follows its answer.
+
+use crate::control::Control;
+use crate::control::Ticket;
+use crate::ports::Decoder;
+use async_channel::Sender;
+use dogwoodshunt_residency::Demand;
+use dogwoodshunt_residency::Target;
+use dogwoodshunt_routing::AgentKey;
+use dogwoodshunt_routing::Ask;
+use dogwoodshunt_types::AdapterName;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::NotRun;
+use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::RequestId;
+use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_wire::Frame;
+use dogwoodshunt_wire::frame::Admit;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Agents that one wish may be brought to before it is refused.
+const MOST_AGENTS: u64 = 4;
+
+/// Bits of an attempt's number that count the agents a wish was brought to.
+const ATTEMPT_BITS: u32 = 8;
+
+/// Pause that a caller is told when no agent can be asked.
+const NO_AGENT_RETRY: Duration = Duration::from_millis(500);
+
+/// Version of an adapter for which none was declared.
+const FIRST_VERSION: &str = "1";
+
+/// A model request that needs an engine.
+#[derive(Clone, Debug)]
+pub struct PlaceAsk {
+    /// Service whose engines run it.
+    pub service: ServiceName,
+    /// Base model that it names.
+    pub base_model: Box<str>,
+    /// Adapter that it names, if any.
+    pub adapter: Option<AdapterName>,
+    /// What it costs an engine.
+    pub demand: Demand,
+    /// When the first byte stops being on time.
+    pub due: Instant,
+    /// When the first byte stops being of use.
+    pub useful_until: Instant,
+}
+
+/// Leave to run a model request.
+#[derive(Clone, Debug)]
+pub struct Grant {
+    /// Upstream that has room for it.
+    pub upstream: UpstreamName,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// What is ready there.
+    pub target: Target,
+    /// Attempt by which the agent knows the run.
+    pub request: RequestId,
+}
+
+/// A wish that waits for an agent's answer.
+pub(super) struct Waiting {
+    ask: PlaceAsk,
+    target: Target,
+    agent: AgentKey,
+    attempt: u64,
+    excluded: Vec<AgentKey>,
+    reply: Sender<Result<Grant, NotRun>>,
+}
+
+/// A granted run.
+pub(super) struct Running {
+    agent: AgentKey,
+    target: Target,
+    request: RequestId,
+    demand: Demand,
+    due: Instant,
+    useful_until: Instant,
+}
+
+impl<D: Decoder> Control<D> {
+    pub(super) fn on_place(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        ask: PlaceAsk,
+        reply: Sender<Result<Grant, NotRun>>,
+    ) {
+        self.budgets.on_request(&ask.service);
+        let target = self.target_of(&ask);
+        self.ask_agent(now, ticket, ask, target, 0, Vec::new(), reply);
+    }
+
+    /// Names the version that must run: the newest one declared.
+    fn target_of(&self, ask: &PlaceAsk) -> Target {
+        let Some(name) = &ask.adapter else {
+            return Target::BaseModel(ask.base_model.clone());
+        };
+        let declared = self.versions.get(name).map(|held| held.adapter.clone());
+        Target::Adapter {
+            adapter: declared.unwrap_or_else(|| AdapterRef::new(name, FIRST_VERSION)),
+            base_model: ask.base_model.clone(),
+        }
+    }
+
+    #[expect(clippy::too_many_arguments, reason = "the parts of a wish on its way")]
+    fn ask_agent(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        ask: PlaceAsk,
+        target: Target,
+        attempt: u64,
+        excluded: Vec<AgentKey>,
+        reply: Sender<Result<Grant, NotRun>>,
+    ) {
+        if attempt >= MOST_AGENTS {
+            let not_run = NotRun::new(NotRunReason::Overloaded, NO_AGENT_RETRY);
+            let _ = reply.try_send(Err(not_run));
+            return;
+        }
+        let routed = self.router.route(
+            now,
+            &Ask {
+                target: &target,
+                deadline: Some(ask.useful_until),
+                excluded: &excluded,
+                demand: &ask.demand,
+            },
+        );
+        let agent = match routed {
+            Ok(agent) => agent,
+            Err(not_run) => {
+                let _ = reply.try_send(Err(not_run));
+                return;
+            }
+        };
+        let admit = Admit {
+            request: self.request_of(ticket, attempt),
+            target: target.clone(),
+            demand: ask.demand.clone(),
+            due_in: ask.due.saturating_duration_since(now),
+            time_left: ask.useful_until.saturating_duration_since(now),
+            started: false,
+        };
+        // An agent that is lost meanwhile is reported, and the wish goes on.
+        self.send(agent, Frame::Admit(Box::new(admit)));
+        let waiting = Waiting {
+            ask,
+            target,
+            agent,
+            attempt,
+            excluded,
+            reply,
+        };
+        self.waiting.insert(ticket, waiting);
+    }
+
+    fn request_of(&self, ticket: Ticket, attempt: u64) -> RequestId {
+        RequestId {
+            entry_boot: self.around.credentials.me.boot,
+            number: ticket << ATTEMPT_BITS | attempt,
+        }
+    }
+
+    pub(super) fn on_admitted(
+        &mut self,
+        now: Instant,
+        agent: AgentKey,
+        request: RequestId,
+        upstream: UpstreamName,
+        target: Target,
+    ) {
+        let (ticket, attempt) = split(request);
+        let current = self.waiting.get(&ticket);
+        if !current.is_some_and(|w| w.agent == agent && w.attempt == attempt) {
+            // The caller has left, or the wish has gone elsewhere.
+            self.send(agent, done(request, false));
+            return;
+        }
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        let Some(address) = self.engine_address(agent) else {
+            self.send(agent, done(request, false));
+            self.go_elsewhere(now, ticket, waiting);
+            return;
+        };
+        let grant = Grant {
+            upstream,
+            address,
+            target,
+            request,
+        };
+        let running = Running {
+            agent,
+            target: waiting.target,
+            request,
+            demand: waiting.ask.demand,
+            due: waiting.ask.due,
+            useful_until: waiting.ask.useful_until,
+        };
+        self.running.insert(ticket, running);
+        if waiting.reply.try_send(Ok(grant)).is_err() {
+            self.on_done(ticket, false);
+        }
+    }
+
+    pub(super) fn on_declined(
+        &mut self,
+        now: Instant,
+        agent: AgentKey,
+        request: RequestId,
+        not_run: NotRun,
+    ) {
+        let (ticket, attempt) = split(request);
+        let current = self.waiting.get(&ticket);
+        if !current.is_some_and(|w| w.agent == agent && w.attempt == attempt) {
+            return;
+        }
+        let Some(waiting) = self.waiting.remove(&ticket) else {
+            return;
+        };
+        if not_run.reason == NotRunReason::Deadline {
+            self.router.on_end(agent, &waiting.target);
+            let _ = waiting.reply.try_send(Err(not_run));
+            return;
+        }
+        self.go_elsewhere(now, ticket, waiting);
+    }
+
+    fn go_elsewhere(&mut self, now: Instant, ticket: Ticket, waiting: Waiting) {
+        self.router.on_end(waiting.agent, &waiting.target);
+        let mut excluded = waiting.excluded;
+        excluded.push(waiting.agent);
+        let attempt = waiting.attempt + 1;
+        let target = self.target_of(&waiting.ask);
+        self.ask_agent(
+            now,
+            ticket,
+            waiting.ask,
+            target,
+            attempt,
+            excluded,
+            waiting.reply,
+        );
+    }
+
+    /// Brings what waits at a lost agent elsewhere.
+    pub(super) fn replace_waiting(&mut self, now: Instant, agent: AgentKey) {
+        let at_agent = self.waiting.iter().filter(|(_, w)| w.agent == agent);
+        let tickets: Vec<Ticket> = at_agent.map(|(ticket, _)| *ticket).collect();
+        for ticket in tickets {
+            if let Some(waiting) = self.waiting.remove(&ticket) {
+                self.go_elsewhere(now, ticket, waiting);
+            }
+        }
+    }
+
+    /// Tells an agent that has come back which runs go on at its engine.
+    pub(super) fn readmit(&mut self, now: Instant, agent: AgentKey) {
+        let runs = self.running.values().filter(|run| run.agent == agent);
+        let frames: Vec<Frame> = runs
+            .map(|run| {
+                Frame::Admit(Box::new(Admit {
+                    request: run.request,
+                    target: run.target.clone(),
+                    demand: run.demand.clone(),
+                    due_in: run.due.saturating_duration_since(now),
+                    time_left: run.useful_until.saturating_duration_since(now),
+                    started: true,
+                }))
+            })
+            .collect();
+        for frame in frames {
+            self.send(agent, frame);
+        }
+    }
+
+    pub(super) fn on_first_byte(&mut self, ticket: Ticket) {
+        if let Some(run) = self.running.get(&ticket) {
+            let request = run.request;
+            self.send(run.agent, Frame::FirstByte { request });
+        }
+    }
+
+    /// Ends a run, or a wish whose caller has left.
+    pub(super) fn on_done(&mut self, ticket: Ticket, adapter_missing: bool) {
+        if let Some(run) = self.running.remove(&ticket) {
+            self.router.on_end(run.agent, &run.target);
+            self.send(run.agent, done(run.request, adapter_missing));
+        }
+        if let Some(waiting) = self.waiting.remove(&ticket) {
+            self.router.on_end(waiting.agent, &waiting.target);
+            let request = self.request_of(ticket, waiting.attempt);
+            self.send(waiting.agent, Frame::Cancel { request });
+        }
+    }
+}
+
+fn split(request: RequestId) -> (Ticket, u64) {
+    let attempt = request.number & ((1 << ATTEMPT_BITS) - 1);
+    (request.number >> ATTEMPT_BITS, attempt)
+}
+
+fn done(request: RequestId, adapter_missing: bool) -> Frame {
+    Frame::Done {
+        request,
+        adapter_missing,
+    }
+}
--- /dev/null
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -0,0 +1,119 @@
+//! Settings of an entry.
+
+use dogwoodshunt_routing::Settings as Routing;
+use dogwoodshunt_runtime::program::ProgramSettings;
+use dogwoodshunt_runtime::settings::Checked;
+use dogwoodshunt_runtime::settings::Misfit;
+use dogwoodshunt_runtime::settings::NodeSettings;
+use dogwoodshunt_runtime::settings::TelemetrySettings;
+use dogwoodshunt_runtime::settings::check_key;
+use dogwoodshunt_runtime::settings::check_range;
+use dogwoodshunt_types::BootId;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Settings of an entry.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Who this process is.
+    pub node: NodeSettings,
+    /// Address on which callers connect.
+    pub listen_callers: SocketAddr,
+    /// Address on which the platform asks whether this entry is ready.
+    pub listen_ready: SocketAddr,
+    /// Address of the key-value service.
+    pub key_value_service: SocketAddr,
+    /// Port on which the agents beside engines listen.
+    pub agent_port: u16,
+    /// Key shared by all processes.
+    pub shared_key: Box<str>,
+    /// Time from SIGTERM until the platform kills the process, in milliseconds.
+    pub grace_ms: u64,
+    /// Limits on sending requests again.
+    pub retries: RetrySettings,
+    /// Time between two heartbeats, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// Where logs go.
+    #[serde(default)]
+    pub telemetry: TelemetrySettings,
+}
+
+/// Limits on sending requests again, for all entries together.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RetrySettings {
+    /// Retries a service may get for each request.
+    pub ratio: f64,
+    /// Retries a service may get besides, in one window.
+    pub slack: f64,
+}
+
+fn default_heartbeat_ms() -> u64 {
+    500
+}
+
+/// Part of the allowed ratio that is used; the rest covers that a request
+/// counts in one window and its retry in the next.
+const RATIO_USED: f64 = 0.9;
+
+/// Hosts that an adapter may be brought to: the most popular one of a Zipf law
+/// with exponent 1.2 takes a fifth of all requests, so several engines.
+const ROUTING_HOMES: usize = 6;
+
+impl GatewaySettings {
+    /// Returns the weights and limits of placing; `boot` seeds the choices.
+    pub fn routing(&self, boot: BootId) -> Routing {
+        Routing::builder()
+            .homes(ROUTING_HOMES)
+            .batch_weight(0.0)
+            // What an adapter takes while the weight store is not crowded;
+            // agents tell no wants here, so the store's queue does not count.
+            .load_time(Duration::from_millis(250))
+            .seed(boot)
+            .build()
+    }
+
+    /// Returns the retry ratio that this entry keeps to.
+    pub fn retry_ratio(&self) -> f64 {
+        self.retries.ratio * RATIO_USED
+    }
+
+    /// Returns the grace as a duration.
+    pub fn grace(&self) -> Duration {
+        Duration::from_millis(self.grace_ms)
+    }
+}
+
+impl Checked for GatewaySettings {
+    fn check(&self) -> Result<(), Misfit> {
+        self.node.check()?;
+        check_key(&self.shared_key)?;
+        check_range("heartbeat_ms", self.heartbeat_ms, 50, 5_000)?;
+        check_range("grace_ms", self.grace_ms, 1_000, 600_000)?;
+        if !(0.0..=1.0).contains(&self.retries.ratio) {
+            let message = "must lie between 0 and 1";
+            return Err(Misfit::new("retries.ratio", message));
+        }
+        if self.retries.slack.is_nan() || self.retries.slack < 0.0 {
+            return Err(Misfit::new("retries.slack", "must not be below 0"));
+        }
+        Ok(())
+    }
+}
+
+impl ProgramSettings for GatewaySettings {
+    fn node(&self) -> &str {
+        &self.node.name
+    }
+
+    fn traffic_threads(&self) -> u64 {
+        1
+    }
+
+    fn telemetry(&self) -> &TelemetrySettings {
+        &self.telemetry
+    }
+}
--- a/crates/dogwoodshunt_grants/src/tests.rs
+++ b/crates/dogwoodshunt_grants/src/tests.rs
@@ -31,6 +31,8 @@
         slots: 8,
         ready: Vec::new(),
         loading: loading.collect(),
+        kv_tokens: 0,
+        engine: None,
     };
     Report {
         upstreams: vec![upstream],
--- a/crates/dogwoodshunt_load/src/slopes/sample.rs
+++ b/crates/dogwoodshunt_load/src/slopes/sample.rs
@@ -97,6 +97,8 @@
         slots: 32,
         ready: (first..first + ready).map(adapter).collect(),
         loading: vec![adapter(first + ready)],
+        kv_tokens: 0,
+        engine: None,
     };
     Report {
         upstreams: vec![upstream],
--- a/crates/dogwoodshunt_load/src/slopes/state.rs
+++ b/crates/dogwoodshunt_load/src/slopes/state.rs
@@ -133,10 +133,9 @@
     let upstream = residency.add_upstream("runner".into(), kind);
     let answer = ProbeAnswer {
         boot: 1,
-        room: Room {
-            slots: 32,
-            batch: 32,
-        },
+        room: Room::new(32, 32),
+        has_base: true,
+        incoming: None,
         resident: (0..32).map(sample::adapter).collect(),
     };
     residency.on_probe(now, upstream, &answer);
--- a/crates/dogwoodshunt_load/src/slopes/work.rs
+++ b/crates/dogwoodshunt_load/src/slopes/work.rs
@@ -12,6 +12,7 @@
 use dogwoodshunt_catalogue::LogEntry;
 use dogwoodshunt_grants::Granter;
 use dogwoodshunt_replica::Replica;
+use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::LoadWant;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_routing::Ask;
@@ -142,6 +143,7 @@
             target: &target,
             deadline: None,
             excluded: &[],
+            demand: &Demand::default(),
         };
         if let Ok(agent) = router.route(now, &ask) {
             router.on_end(agent, &target);
--- a/crates/dogwoodshunt_proof/src/process.rs
+++ b/crates/dogwoodshunt_proof/src/process.rs
@@ -36,15 +36,15 @@
         let mut child = Command::new(binary(program)?)
             .arg("run")
             .arg(settings)
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .spawn()?;
-        let stderr = child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let stdout = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
         let log = File::options()
             .append(true)
             .create(true)
             .open(settings.with_extension("log"))?;
         let (tx, rx) = mpsc::channel();
-        thread::spawn(move || copy_lines(BufReader::new(stderr), log, &tx));
+        thread::spawn(move || copy_lines(BufReader::new(stdout), log, &tx));
         let started = rx.recv().map_err(|_| {
             let message = format!("{program} ended before it had started");
             io::Error::new(io::ErrorKind::UnexpectedEof, message)
--- a/crates/dogwoodshunt_residency/src/action.rs
+++ b/crates/dogwoodshunt_residency/src/action.rs
@@ -20,6 +20,11 @@
         /// Upstream to send it to.
         upstream: UpstreamKey,
     },
+    /// Order an upstream to load its base model.
+    LoadBase {
+        /// Upstream to order.
+        upstream: UpstreamKey,
+    },
     /// Order an upstream to load an adapter.
     Load {
         /// Upstream to order.
--- a/crates/dogwoodshunt_residency/src/job.rs
+++ b/crates/dogwoodshunt_residency/src/job.rs
@@ -1,5 +1,6 @@
 //! The life cycle of a submitted request inside the agent.
 
+use crate::demand::Demand;
 use crate::upstream::UpstreamKey;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
@@ -27,6 +28,8 @@
         /// Base model that the adapter belongs to.
         base_model: Box<str>,
     },
+    /// A completion by a base model, without an adapter.
+    BaseModel(Box<str>),
     /// A call of a plain service.
     Service(ServiceName),
 }
@@ -36,6 +39,14 @@
     pub fn adapter(&self) -> Option<&AdapterRef> {
         match self {
             Self::Adapter { adapter, .. } => Some(adapter),
+            Self::BaseModel(_) | Self::Service(_) => None,
+        }
+    }
+
+    /// Returns the base model that must be loaded, if any.
+    pub fn base_model(&self) -> Option<&str> {
+        match self {
+            Self::Adapter { base_model, .. } | Self::BaseModel(base_model) => Some(base_model),
             Self::Service(_) => None,
         }
     }
@@ -45,6 +56,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Adapter { adapter, .. } => adapter.fmt(f),
+            Self::BaseModel(name) => write!(f, "base/{name}"),
             Self::Service(name) => write!(f, "services/{name}"),
         }
     }
@@ -63,6 +75,8 @@
     pub boot: Option<BootId>,
     /// When the job was dispatched.
     pub since: Instant,
+    /// Tokens of the prompt that the upstream has still to read.
+    pub unread: u64,
 }
 
 /// A submitted request in state `S`.
@@ -83,6 +97,10 @@
     pub deadline: Option<Instant>,
     /// How often an upstream has declined the job.
     pub declined: u32,
+    /// What the run costs the engine.
+    pub demand: Demand,
+    /// When the first byte stops being on time.
+    pub due: Option<Instant>,
     state: S,
 }
 
@@ -111,21 +129,33 @@
             arrived,
             deadline,
             declined: 0,
+            demand: Demand::default(),
+            due: None,
             state: Queued,
         }
     }
 
+    /// Adds what the run costs an engine, and when its first byte is due.
+    #[must_use]
+    pub fn with_demand(mut self, demand: Demand, due: Option<Instant>) -> Self {
+        self.demand = demand;
+        self.due = due;
+        self
+    }
+
     /// Hands the job to `upstream`.
     pub fn dispatch(
         self,
         now: Instant,
         upstream: UpstreamKey,
         boot: Option<BootId>,
+        unread: u64,
     ) -> Job<Running> {
         self.with_state(Running {
             upstream,
             boot,
             since: now,
+            unread,
         })
     }
 
@@ -154,6 +184,16 @@
         self.state.since
     }
 
+    /// Returns the tokens of the prompt that the upstream has still to read.
+    pub fn unread(&self) -> u64 {
+        self.state.unread
+    }
+
+    /// Records that the whole prompt has been read, and returns what was left.
+    pub fn mark_read(&mut self) -> u64 {
+        std::mem::take(&mut self.state.unread)
+    }
+
     /// Puts the job back after its upstream declined it without running it.
     pub fn declined(mut self) -> Job<Queued> {
         self.declined += 1;
@@ -170,6 +210,8 @@
             arrived: self.arrived,
             deadline: self.deadline,
             declined: self.declined,
+            demand: self.demand,
+            due: self.due,
             state,
         }
     }
--- a/crates/dogwoodshunt_residency/src/lib.rs
+++ b/crates/dogwoodshunt_residency/src/lib.rs
@@ -4,15 +4,19 @@
 //! entries have submitted to it. Events go in with the present time, actions
 //! come out. The crate does no I/O, reads no clock and takes no lock.
 //!
-//! Read [`job`] and [`upstream`] for the state, [`residency`] and [`orders`] for
-//! the events, then [`plan`] for the decisions; [`budget`] and [`popularity`] serve it.
+//! Read [`job`], [`demand`] and [`upstream`] for the state, [`residency`] and [`orders`] for
+//! the events, then [`plan`] for the decisions; [`budget`],
+//! [`popularity`] and [`prefix`] serve it.
 
 pub mod action;
 pub mod budget;
+pub mod demand;
 pub mod job;
 pub mod orders;
+pub mod pace;
 pub mod plan;
 pub mod popularity;
+pub mod prefix;
 pub mod report;
 pub mod residency;
 pub mod settings;
@@ -22,9 +26,11 @@
 mod tests;
 
 pub use crate::action::Action;
+pub use crate::demand::Demand;
 pub use crate::job::JobKey;
 pub use crate::job::Target;
 pub use crate::plan::Gate;
+pub use crate::prefix::PrefixRecord;
 pub use crate::report::LoadWant;
 pub use crate::report::Report;
 pub use crate::residency::Residency;
--- a/crates/dogwoodshunt_residency/src/orders.rs
+++ b/crates/dogwoodshunt_residency/src/orders.rs
@@ -3,8 +3,11 @@
 use crate::action::Action;
 use crate::job::AnyJob;
 use crate::job::JobKey;
+use crate::job::Target;
 use crate::residency::Residency;
+use crate::upstream::Base;
 use crate::upstream::Residence;
+use crate::upstream::Resident;
 use crate::upstream::Room;
 use crate::upstream::UpstreamKey;
 use crate::upstream::backoff_pause;
@@ -32,8 +35,12 @@
     pub boot: BootId,
     /// Room of the upstream.
     pub room: Room,
+    /// Whether its base model is loaded; `true` where it can't be unloaded.
+    pub has_base: bool,
     /// Adapters that it holds.
     pub resident: Vec<AdapterRef>,
+    /// Adapters on their way to it, where it tells them.
+    pub incoming: Option<Vec<AdapterRef>>,
 }
 
 impl Residency {
@@ -79,7 +86,60 @@
             return;
         };
         upstream.read_back(now, answer.boot, &answer.resident);
+        if let Some(incoming) = &answer.incoming {
+            upstream.read_incoming(now, incoming, &answer.resident);
+        }
+        if upstream.room.kv_tokens != answer.room.kv_tokens {
+            let kept = answer.room.kv_tokens;
+            upstream.tokens.prefixes.set_capacity(kept);
+        }
         upstream.room = answer.room;
+        upstream.base = match (answer.has_base, upstream.base) {
+            (true, _) => Base::Ready,
+            (false, Base::Loading { since }) => Base::Loading { since },
+            (false, Base::Absent | Base::Ready) => Base::Absent,
+        };
+    }
+
+    /// Records that an order to load the base model was not carried out; the
+    /// next one waits for the first pause after a failure.
+    pub fn on_base_refused(&mut self, now: Instant, key: UpstreamKey) {
+        let pause = self.settings.backoff_first;
+        let since = (now + pause).checked_sub(self.settings.base_load_limit);
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            if let (Base::Loading { .. }, Some(since)) = (upstream.base, since) {
+                upstream.base = Base::Loading { since };
+            }
+        }
+    }
+
+    /// Takes over that the newest version of an adapter is `newer`: what waits
+    /// for another one gets this one.
+    pub fn retarget(&mut self, newer: &AdapterRef) {
+        for key in &self.queue {
+            if let Some(AnyJob::Queued(job)) = self.jobs.get_mut(*key) {
+                if let Target::Adapter { adapter, .. } = &mut job.target {
+                    if adapter.name == newer.name {
+                        *adapter = newer.clone();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Records which version a load that is in flight brings.
+    pub fn rename_loading(&mut self, key: UpstreamKey, coming: &AdapterRef) {
+        let Some(upstream) = self.upstreams.get_mut(key) else {
+            return;
+        };
+        let loading = |(held, resident): &(&AdapterRef, &Resident)| {
+            held.name == coming.name && matches!(resident.state, Residence::Loading { .. })
+        };
+        let held = upstream.residents.iter().find(loading);
+        let held = held.map(|(held, _)| held.clone());
+        if let Some(resident) = held.and_then(|held| upstream.residents.remove(&held)) {
+            upstream.residents.insert(coming.clone(), resident);
+        }
     }
 
     /// Records that an upstream does not answer.
--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -1,10 +1,14 @@
 //! What to run, load and evict next.
 
 use crate::action::Action;
+use crate::demand::Demand;
 use crate::job::AnyJob;
+use crate::job::Job;
 use crate::job::JobKey;
+use crate::job::Queued;
 use crate::job::Target;
 use crate::residency::Residency;
+use crate::upstream::Base;
 use crate::upstream::Kind;
 use crate::upstream::Residence;
 use crate::upstream::Resident;
@@ -35,9 +39,10 @@
             (Kind::Engine { base_model: held }, Target::Adapter { base_model, .. }) => {
                 held == base_model
             }
+            (Kind::Engine { base_model: held }, Target::BaseModel(name)) => held == name,
             (Kind::Service(held), Target::Service(name)) => held == name,
             (Kind::Engine { .. }, Target::Service(_))
-            | (Kind::Service(_), Target::Adapter { .. }) => false,
+            | (Kind::Service(_), Target::Adapter { .. } | Target::BaseModel(_)) => false,
         }
     }
 
@@ -45,7 +50,25 @@
         let ready = target
             .adapter()
             .is_none_or(|adapter| self.is_ready(adapter));
-        self.takes_work() && self.has_batch_room() && self.fits(target) && ready
+        let base = self.base == Base::Ready;
+        self.takes_work() && self.has_batch_room() && self.fits(target) && ready && base
+    }
+
+    /// Returns the prompt tokens of a job that this upstream would have to read.
+    pub fn fresh_tokens(&self, target: &Target, demand: &Demand) -> u64 {
+        let adapter = target.to_string();
+        let kept = self.tokens.prefixes.kept_tokens(&adapter, &demand.parts);
+        u64::from(demand.prompt_tokens).saturating_sub(kept)
+    }
+
+    fn start_reading(&mut self, now: Instant, target: &Target, demand: &Demand) -> u64 {
+        let fresh = self.fresh_tokens(target, demand);
+        self.tokens.unread += fresh;
+        self.tokens.held += demand.held_tokens();
+        self.tokens.pace.on_start(now);
+        let adapter = target.to_string();
+        self.tokens.prefixes.record(&adapter, &demand.parts);
+        fresh
     }
 }
 
@@ -53,6 +76,7 @@
     /// Decides what to do now.
     pub fn plan(&mut self, now: Instant, gate: &dyn Gate) -> Vec<Action> {
         let mut actions = self.expire(now);
+        self.load_bases(now, &mut actions);
         self.dispatch_all(now, gate, &mut actions);
         self.unload_retired(&mut actions);
         self.start_loads(now, &mut actions);
@@ -76,14 +100,39 @@
             .collect()
     }
 
+    /// Orders the base model of engines that have lost it, as after a restart.
+    fn load_bases(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let limit = self.settings.base_load_limit;
+        for (key, upstream) in &mut self.upstreams {
+            let due = match upstream.base {
+                Base::Ready => false,
+                Base::Absent => true,
+                Base::Loading { since } => now.saturating_duration_since(since) >= limit,
+            };
+            if due && upstream.takes_work() && upstream.owned {
+                upstream.base = Base::Loading { since: now };
+                actions.push(Action::LoadBase { upstream: key });
+            }
+        }
+    }
+
+    /// Starts what can run, in order.
+    ///
+    /// Once a job waits for tokens of an upstream, no later one may take them,
+    /// or else large requests would never run on a busy upstream.
     fn dispatch_all(&mut self, now: Instant, gate: &dyn Gate, actions: &mut Vec<Action>) {
-        for key in self.queue_in_order() {
+        let mut full: Vec<UpstreamKey> = Vec::new();
+        for key in self.queue_in_order(now) {
             let AnyJob::Queued(job) = &self.jobs[key] else {
                 continue;
             };
-            let Some(upstream) = self.best_upstream(&job.target) else {
+            let Some(upstream) = self.best_upstream(&job.target, &full) else {
                 continue;
             };
+            if !self.has_token_room(upstream, job) {
+                full.push(upstream);
+                continue;
+            }
             match gate.check(&job.target) {
                 Ok(()) => actions.extend(self.dispatch(now, key, upstream)),
                 Err(not_run) => actions.extend(self.refuse(key, not_run)),
@@ -91,19 +140,36 @@
         }
     }
 
-    fn queue_in_order(&self) -> Vec<JobKey> {
+    fn has_token_room(&self, key: UpstreamKey, job: &Job<Queued>) -> bool {
+        let upstream = &self.upstreams[key];
+        let ahead = self.settings.read_ahead.as_secs_f64() * 1e3;
+        let limit = (ahead * upstream.tokens.pace.rate()) as u64;
+        let fresh = upstream.fresh_tokens(&job.target, &job.demand);
+        upstream.has_token_room(fresh, job.demand.held_tokens(), limit)
+    }
+
+    /// Returns the queue by class, then those that can still be on time, then
+    /// by rank and arrival.
+    fn queue_in_order(&self, now: Instant) -> Vec<JobKey> {
         let mut keys = self.queue.clone();
         keys.sort_by_key(|key| match &self.jobs[*key] {
-            AnyJob::Queued(job) => (std::cmp::Reverse(job.priority), job.arrived),
-            AnyJob::Running(job) => (std::cmp::Reverse(job.priority), job.arrived),
+            AnyJob::Queued(job) => {
+                let late = job.due.is_some_and(|due| due <= now);
+                let class = std::cmp::Reverse(job.priority);
+                (class, late, job.demand.rank, job.arrived)
+            }
+            AnyJob::Running(job) => {
+                let class = std::cmp::Reverse(job.priority);
+                (class, false, job.demand.rank, job.arrived)
+            }
         });
         keys
     }
 
-    fn best_upstream(&self, target: &Target) -> Option<UpstreamKey> {
+    fn best_upstream(&self, target: &Target, full: &[UpstreamKey]) -> Option<UpstreamKey> {
         self.upstreams
             .iter()
-            .filter(|(_, upstream)| upstream.can_run(target))
+            .filter(|(key, upstream)| upstream.can_run(target) && !full.contains(key))
             .min_by_key(|(_, upstream)| upstream.running)
             .map(|(key, _)| key)
     }
@@ -123,6 +189,7 @@
         };
         let boot = held.boot;
         held.running += 1;
+        let unread = held.start_reading(now, &job.target, &job.demand);
         let resident = job
             .target
             .adapter()
@@ -132,7 +199,7 @@
             resident.last_used = now;
         }
         self.queue.retain(|queued| *queued != key);
-        self.jobs[key] = AnyJob::Running(job.dispatch(now, upstream, boot));
+        self.jobs[key] = AnyJob::Running(job.dispatch(now, upstream, boot, unread));
         Some(Action::Dispatch { job: key, upstream })
     }
 
@@ -173,6 +240,9 @@
 
     fn start_loads(&mut self, now: Instant, actions: &mut Vec<Action>) {
         for (adapter, base_model, waited) in self.load_order(now) {
+            if self.retire_older(&adapter, actions) {
+                continue;
+            }
             let Some(key) = self.load_site(now, &adapter, &base_model) else {
                 self.retire_for(now, &adapter, &base_model, waited);
                 continue;
@@ -200,6 +270,37 @@
         }
     }
 
+    /// Makes room for a version where an upstream holds one at a time.
+    ///
+    /// Returns whether another version must leave first.
+    fn retire_older(&mut self, wanted: &AdapterRef, actions: &mut Vec<Action>) -> bool {
+        let held = self.upstreams.iter().find_map(|(key, upstream)| {
+            let one_version = upstream.room.one_version && upstream.owned;
+            let (adapter, resident) = upstream.other_version(wanted).filter(|_| one_version)?;
+            Some((key, adapter.clone(), resident.state, resident.pins))
+        });
+        let Some((key, adapter, state, pins)) = held else {
+            return false;
+        };
+        match state {
+            Residence::Ready | Residence::Retiring if pins == 0 => {
+                if self.upstreams[key].takes_order() {
+                    actions.extend(self.unload(key, adapter));
+                }
+            }
+            Residence::Ready => {
+                if let Some(resident) = self.upstreams[key].residents.get_mut(&adapter) {
+                    resident.state = Residence::Retiring;
+                }
+            }
+            Residence::Loading { .. }
+            | Residence::Retiring
+            | Residence::Unloading
+            | Residence::Unsure => {}
+        }
+        true
+    }
+
     /// Returns the adapters to load, the costliest wait first.
     fn load_order(&self, now: Instant) -> Vec<(AdapterRef, Box<str>, Duration)> {
         let mut order: Vec<(AdapterRef, Box<str>, Duration)> = Vec::new();
@@ -223,7 +324,7 @@
                     adapter,
                     base_model,
                 } if adapter == wanted => Some(base_model.clone()),
-                Target::Adapter { .. } | Target::Service(_) => None,
+                Target::Adapter { .. } | Target::BaseModel(_) | Target::Service(_) => None,
             },
             AnyJob::Running(_) => None,
         })
@@ -239,7 +340,8 @@
             .iter()
             .filter(|(_, upstream)| upstream.takes_work() && upstream.owned)
             .filter(|(_, upstream)| upstream.is_engine_of(base_model))
-            .filter(|(_, upstream)| !upstream.is_ordering() && upstream.may_load(now, adapter))
+            .filter(|(_, upstream)| upstream.takes_order() && upstream.may_load(now, adapter))
+            .filter(|(_, upstream)| upstream.base == Base::Ready)
             // A retiring adapter still holds its slot and its pins.
             .filter(|(_, upstream)| !upstream.residents.contains_key(adapter))
             .filter(|(key, upstream)| upstream.has_slot() || self.victim(now, *key).is_some())
@@ -292,7 +394,7 @@
             .iter()
             .filter(|(_, upstream)| upstream.takes_work() && upstream.owned)
             .filter(|(_, upstream)| upstream.is_engine_of(base_model))
-            .filter(|(_, upstream)| !upstream.is_ordering() && upstream.may_load(now, adapter))
+            .filter(|(_, upstream)| upstream.takes_order() && upstream.may_load(now, adapter))
             .find(|(_, upstream)| {
                 let mut residents = upstream.residents.values();
                 !residents.any(|resident| resident.state == Residence::Retiring)
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -3,8 +3,10 @@
 use crate::job::AnyJob;
 use crate::job::Target;
 use crate::residency::Residency;
+use crate::upstream::Base;
 use crate::upstream::Kind;
 use crate::upstream::Residence;
+use crate::upstream::UpstreamKey;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Priority;
 use dogwoodshunt_types::ServiceName;
@@ -18,6 +20,23 @@
 /// Most wants that one report carries.
 const MAX_WANTS: usize = 16;
 
+/// Step to which a rate is rounded, in tokens a second.
+const RATE_STEP: u64 = 1_000;
+
+/// Load of an engine in tokens.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineLoad {
+    /// Prompt tokens to read before a new request, running and waiting.
+    #[serde(rename = "u")]
+    pub unread: u64,
+    /// KV cache tokens that running requests hold once complete.
+    #[serde(rename = "h")]
+    pub held: u64,
+    /// Prompt tokens read in a second.
+    #[serde(rename = "p")]
+    pub tokens_per_second: u64,
+}
+
 /// Load of one upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamReport {
@@ -37,6 +56,10 @@
     pub ready: Vec<AdapterRef>,
     /// Adapters that are being loaded.
     pub loading: Vec<AdapterRef>,
+    /// Tokens that its KV cache holds; 0 where that is not known.
+    pub kv_tokens: u64,
+    /// Its load in tokens, where that is known.
+    pub engine: Option<EngineLoad>,
 }
 
 /// What an upstream serves.
@@ -80,6 +103,9 @@
     /// Requests running on each upstream, in the order of the report.
     #[serde(rename = "r")]
     pub running: Vec<u32>,
+    /// Load in tokens of each upstream, in the order of the report.
+    #[serde(rename = "e")]
+    pub engines: Vec<Option<EngineLoad>>,
     /// Requests that wait in the agent's queue.
     #[serde(rename = "q")]
     pub queued: u32,
@@ -124,6 +150,11 @@
                 .iter()
                 .map(|upstream| upstream.running)
                 .collect(),
+            engines: self
+                .upstreams
+                .iter()
+                .map(|upstream| upstream.engine)
+                .collect(),
             queued: self.queued,
             mean_run: self.mean_run,
             wants: self.wants.clone(),
@@ -135,6 +166,9 @@
         for (upstream, running) in upstreams.iter_mut().zip(load.running) {
             upstream.running = running;
         }
+        for (upstream, engine) in upstreams.iter_mut().zip(load.engines) {
+            upstream.engine = engine;
+        }
         Self {
             upstreams,
             queued: load.queued,
@@ -179,16 +213,44 @@
                     Kind::Engine { base_model } => Serves::BaseModel(base_model.clone()),
                     Kind::Service(name) => Serves::Service(name.clone()),
                 },
-                takes_work: upstream.takes_work() && !self.is_leaving(),
+                takes_work: upstream.takes_work()
+                    && upstream.base == Base::Ready
+                    && !self.is_leaving(),
                 running: to_u32(upstream.running),
                 batch: to_u32(upstream.room.batch),
                 slots: to_u32(upstream.room.slots),
+                kv_tokens: match upstream.room.kv_tokens {
+                    u64::MAX => 0,
+                    known => known,
+                },
+                engine: self.engine_load(key),
                 ready: with_state(|s| *s == Residence::Ready, key),
                 loading: with_state(|s| matches!(s, Residence::Loading { .. }), key),
             })
             .collect()
     }
 
+    /// Returns the load of an engine whose KV cache is known.
+    fn engine_load(&self, key: UpstreamKey) -> Option<EngineLoad> {
+        let upstream = self.upstream(key)?;
+        if upstream.room.kv_tokens == u64::MAX {
+            return None;
+        }
+        let waiting = self.queue.iter().map(|job| match &self.jobs[*job] {
+            AnyJob::Queued(job) if upstream.fits(&job.target) => {
+                upstream.fresh_tokens(&job.target, &job.demand)
+            }
+            AnyJob::Queued(_) | AnyJob::Running(_) => 0,
+        });
+        let per_second = (upstream.tokens.pace.rate() * 1e3) as u64;
+        Some(EngineLoad {
+            unread: upstream.tokens.unread + waiting.sum::<u64>(),
+            held: upstream.tokens.held,
+            // Rounded, so that a report doesn't change with every answer.
+            tokens_per_second: per_second / RATE_STEP * RATE_STEP,
+        })
+    }
+
     /// Returns the adapters that wait to be loaded, the costliest first.
     pub fn wants(&self, now: Instant) -> Vec<LoadWant> {
         let mut wants: HashMap<&AdapterRef, LoadWant> = HashMap::new();
--- a/crates/dogwoodshunt_residency/src/residency.rs
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -142,6 +142,9 @@
         if !self.serves(&job) {
             return Err(NotRun::new(NotRunReason::NoUpstream, SHORT_RETRY));
         }
+        if self.is_held_up(&job) {
+            return Err(NotRun::new(NotRunReason::Overloaded, SHORT_RETRY));
+        }
         if self.queue.len() >= self.settings.queue_limit {
             return Err(NotRun::new(NotRunReason::Overloaded, self.mean_run));
         }
@@ -153,6 +156,22 @@
         Ok(key)
     }
 
+    /// Takes in a job that already runs on `upstream`, as its entry says.
+    pub fn adopt(&mut self, now: Instant, key: UpstreamKey, job: Job<Queued>) -> Option<JobKey> {
+        let upstream = self.upstreams.get_mut(key)?;
+        upstream.running += 1;
+        upstream.tokens.held += job.demand.held_tokens();
+        if let Some(adapter) = job.target.adapter() {
+            let resident = upstream.residents.entry(adapter.clone());
+            resident
+                .or_insert_with(|| Resident::new(Residence::Ready, now))
+                .pins += 1;
+        }
+        let boot = upstream.boot;
+        let running = job.dispatch(now, key, boot, 0);
+        Some(self.jobs.insert(AnyJob::Running(running)))
+    }
+
     /// Ends a job whose caller has gone.
     pub fn cancel(&mut self, key: JobKey) -> Vec<Action> {
         match self.jobs.get(key) {
@@ -255,18 +274,46 @@
         }
     }
 
+    /// Returns whether runs on another version hold up the one that `job` needs.
+    fn is_held_up(&self, job: &Job<Queued>) -> bool {
+        let Some(adapter) = job.target.adapter() else {
+            return false;
+        };
+        let fitting = |upstream: &&Upstream| upstream.takes_work() && upstream.fits(&job.target);
+        let mut fitting = self.upstreams.values().filter(fitting);
+        fitting.all(|upstream| {
+            let other = upstream.other_version(adapter);
+            upstream.room.one_version && other.is_some_and(|(_, resident)| resident.pins > 0)
+        })
+    }
+
     fn serves(&self, job: &Job<Queued>) -> bool {
         self.upstreams
             .values()
             .any(|upstream| upstream.takes_work() && upstream.fits(&job.target))
     }
 
+    /// Records that a running job's first byte has come: its prompt was read.
+    pub fn on_first_byte(&mut self, now: Instant, key: JobKey) {
+        let Some(AnyJob::Running(job)) = self.jobs.get_mut(key) else {
+            return;
+        };
+        let (boot, tokens) = (job.boot(), job.mark_read());
+        let upstream = self.upstreams.get_mut(job.upstream());
+        if let Some(upstream) = upstream.filter(|upstream| upstream.boot == boot) {
+            upstream.end_reading(now, tokens);
+        }
+    }
+
     fn unpin(&mut self, job: &Job<Running>, now: Instant) {
         let upstream = self.upstreams.get_mut(job.upstream());
         let Some(upstream) = upstream.filter(|upstream| upstream.boot == job.boot()) else {
             return;
         };
         upstream.running = upstream.running.saturating_sub(1);
+        upstream.tokens.unread = upstream.tokens.unread.saturating_sub(job.unread());
+        let held = job.demand.held_tokens();
+        upstream.tokens.held = upstream.tokens.held.saturating_sub(held);
         let Some(adapter) = job.target.adapter() else {
             return;
         };
@@ -282,6 +329,19 @@
         self.mean_run = Duration::from_secs_f64(mean);
     }
 
+    /// Records that the upstream of a running job says it lacks the adapter;
+    /// its next probe tells for certain.
+    pub fn forget_adapter_of(&mut self, key: JobKey) {
+        if let Some(AnyJob::Running(job)) = self.jobs.get(key).cloned() {
+            let upstream = self.upstreams.get_mut(job.upstream());
+            if let (Some(upstream), Some(adapter)) = (upstream, job.target.adapter()) {
+                if let Some(resident) = upstream.residents.get_mut(adapter) {
+                    resident.state = Residence::Unsure;
+                }
+            }
+        }
+    }
+
     fn forget_resident(&mut self, job: &Job<Running>) {
         let upstream = self.upstreams.get_mut(job.upstream());
         if let (Some(upstream), Some(adapter)) = (upstream, job.target.adapter()) {
--- a/crates/dogwoodshunt_residency/src/settings.rs
+++ b/crates/dogwoodshunt_residency/src/settings.rs
@@ -33,6 +33,13 @@
     /// Times an upstream may decline a job before the agent refuses it.
     #[builder(default = 3)]
     pub run_attempts: u32,
+    /// Prompt tokens that an engine may have before it, as time of reading;
+    /// what waits here instead keeps its order and can still go elsewhere.
+    #[builder(default = Duration::from_millis(300))]
+    pub read_ahead: Duration,
+    /// How long a load of a base model may take before it is ordered again.
+    #[builder(default = Duration::from_secs(6))]
+    pub base_load_limit: Duration,
     /// Half-life of an adapter's popularity.
     #[builder(default = Duration::from_secs(60))]
     pub popularity_half_life: Duration,
--- a/crates/dogwoodshunt_residency/src/tests/focused.rs
+++ b/crates/dogwoodshunt_residency/src/tests/focused.rs
@@ -52,7 +52,9 @@
         residency.set_owned(true);
         let answer = ProbeAnswer {
             boot: 1,
-            room: Room { slots, batch: 2 },
+            room: Room::new(slots, 2),
+            has_base: true,
+            incoming: None,
             resident: resident.iter().map(|name| adapter(name)).collect(),
         };
         residency.on_probe(now, upstream, &answer);
@@ -294,7 +296,9 @@
     agent.plan(now);
     let answer = ProbeAnswer {
         boot: 2,
-        room: Room { slots: 1, batch: 2 },
+        room: Room::new(1, 2),
+        has_base: true,
+        incoming: None,
         resident: vec![adapter("roast")],
     };
     let upstream = agent.upstream;
@@ -318,7 +322,9 @@
     let job = agent.submit(now, "roast");
     let answer = ProbeAnswer {
         boot: 1,
-        room: Room { slots: 1, batch: 2 },
+        room: Room::new(1, 2),
+        has_base: true,
+        incoming: None,
         resident: vec![adapter("roast")],
     };
     let mut refused = false;
--- a/crates/dogwoodshunt_residency/src/tests/randomised.rs
+++ b/crates/dogwoodshunt_residency/src/tests/randomised.rs
@@ -195,6 +195,7 @@
             match action {
                 Action::CancelRun { job } => self.lost_runs.push(job),
                 Action::Dispatch { job, upstream } => self.dispatch(job, upstream),
+                Action::LoadBase { .. } => panic!("engines here never lose their base model"),
                 Action::Load { upstream, adapter } => self.order(upstream, Order::Load(adapter)),
                 Action::NotRun { job, refused } => {
                     self.requests.remove(&job);
@@ -294,10 +295,9 @@
         let held = &self.engines[engine];
         let answer = ProbeAnswer {
             boot: held.boot,
-            room: Room {
-                slots: SLOTS,
-                batch: BATCH,
-            },
+            room: Room::new(SLOTS, BATCH),
+            has_base: true,
+            incoming: None,
             resident: held.loaded.iter().cloned().collect(),
         };
         // Orders and probes of one upstream never overlap.
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -1,5 +1,7 @@
 //! One upstream and the adapters resident on it.
 
+use crate::pace::Pace;
+use crate::prefix::PrefixRecord;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_types::ServiceName;
@@ -8,6 +10,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Time after which an accepted load shows in the upstream's report.
+const INCOMING_LAG: Duration = Duration::from_millis(400);
+
 slotmap::new_key_type! {
     /// Names an upstream of this agent.
     pub struct UpstreamKey;
@@ -32,6 +37,53 @@
     pub slots: usize,
     /// Requests that run at once.
     pub batch: usize,
+    /// Tokens that the KV cache holds.
+    pub kv_tokens: u64,
+    /// Adapters that may be on their way to the upstream at once.
+    pub transit: usize,
+    /// Whether an adapter is resident in one version at a time only.
+    pub one_version: bool,
+}
+
+impl Room {
+    /// Returns the room of an upstream whose KV cache is not known, with one
+    /// order at a time and any number of versions side by side.
+    pub fn new(slots: usize, batch: usize) -> Self {
+        Self {
+            slots,
+            batch,
+            kv_tokens: u64::MAX,
+            transit: 1,
+            one_version: false,
+        }
+    }
+}
+
+/// Whether the base model of an engine is loaded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Base {
+    /// It is not loaded.
+    Absent,
+    /// An order to load it is in flight.
+    Loading {
+        /// When the order was sent.
+        since: Instant,
+    },
+    /// It is loaded.
+    Ready,
+}
+
+/// What an engine is doing for this agent, in tokens.
+#[derive(Clone, Debug)]
+pub struct Tokens {
+    /// Prompt tokens of running requests that have still to be read.
+    pub unread: u64,
+    /// KV cache tokens that running requests hold once complete.
+    pub held: u64,
+    /// Parts of prompts that the engine is likely to keep.
+    pub prefixes: PrefixRecord,
+    /// Rate at which it reads prompts.
+    pub pace: Pace,
 }
 
 /// Whether the upstream can be used.
@@ -109,8 +161,12 @@
     pub owned: bool,
     /// Its room.
     pub room: Room,
+    /// Whether its base model is loaded; always so for a plain service.
+    pub base: Base,
     /// Requests that it is running for this agent.
     pub running: usize,
+    /// What it is doing, in tokens.
+    pub tokens: Tokens,
     /// Adapters that occupy its slots.
     pub residents: BTreeMap<AdapterRef, Resident>,
     /// Adapters whose loads failed.
@@ -127,8 +183,15 @@
             boot: None,
             leaving: false,
             owned: false,
-            room: Room { slots: 0, batch: 0 },
+            room: Room::new(0, 0),
+            base: Base::Ready,
             running: 0,
+            tokens: Tokens {
+                unread: 0,
+                held: 0,
+                prefixes: PrefixRecord::new(0),
+                pace: Pace::default(),
+            },
             residents: BTreeMap::new(),
             backoffs: BTreeMap::new(),
         }
@@ -149,14 +212,36 @@
         self.residents.len() < self.room.slots
     }
 
-    /// Returns whether an order is in flight or its answer is unknown.
-    pub fn is_ordering(&self) -> bool {
-        self.residents.values().any(|resident| {
-            matches!(
-                resident.state,
-                Residence::Loading { .. } | Residence::Unloading | Residence::Unsure
-            )
-        })
+    /// Returns whether one more order may be sent.
+    ///
+    /// Loads may overlap up to the upstream's limit; an order whose answer is
+    /// unknown, or one to unload, must end first.
+    pub fn takes_order(&self) -> bool {
+        let mut loading = 0;
+        for resident in self.residents.values() {
+            match resident.state {
+                Residence::Loading { .. } => loading += 1,
+                Residence::Unloading | Residence::Unsure => return false,
+                Residence::Ready | Residence::Retiring => {}
+            }
+        }
+        loading < self.room.transit
+    }
+
+    /// Returns another version of `adapter` that is resident here.
+    pub fn other_version(&self, adapter: &AdapterRef) -> Option<(&AdapterRef, &Resident)> {
+        let same_name = |held: &AdapterRef| held.name == adapter.name && held != adapter;
+        self.residents.iter().find(|(held, _)| same_name(held))
+    }
+
+    /// Returns whether a run of `fresh` prompt tokens and `held` cache tokens
+    /// can start without spoiling those that run.
+    ///
+    /// A request that is alone always fits; the engine has the last word.
+    pub fn has_token_room(&self, fresh: u64, held: u64, unread_limit: u64) -> bool {
+        let reads = self.tokens.unread == 0 || self.tokens.unread + fresh <= unread_limit;
+        let cached = self.tokens.held == 0 || self.tokens.held + held <= self.room.kv_tokens;
+        reads && cached
     }
 
     /// Returns whether `adapter` takes requests here.
@@ -198,6 +283,13 @@
         backoff.failures
     }
 
+    /// Records that a prompt of which `tokens` were fresh has been read.
+    pub(crate) fn end_reading(&mut self, now: Instant, tokens: u64) {
+        self.tokens.unread = self.tokens.unread.saturating_sub(tokens);
+        let left = self.tokens.unread;
+        self.tokens.pace.on_read(now, tokens, left);
+    }
+
     /// Replaces what is known of the residents by what the upstream lists.
     ///
     /// Pins survive where the boot is unchanged, since their requests still
@@ -207,6 +299,9 @@
         if self.boot != Some(boot) {
             before.clear();
             self.running = 0;
+            self.tokens.unread = 0;
+            self.tokens.held = 0;
+            self.tokens.prefixes.clear();
         }
         for adapter in listed {
             let held = before.remove(adapter);
@@ -228,6 +323,36 @@
         self.boot = Some(boot);
         self.link = Link::Up;
     }
+
+    /// Takes over which adapters are on their way.
+    ///
+    /// A load that the upstream does not show after [`INCOMING_LAG`] is lost.
+    pub(crate) fn read_incoming(
+        &mut self,
+        now: Instant,
+        incoming: &[AdapterRef],
+        listed: &[AdapterRef],
+    ) {
+        for adapter in listed.iter().filter(|adapter| !incoming.contains(adapter)) {
+            if let Some(resident) = self.residents.get_mut(adapter) {
+                if matches!(resident.state, Residence::Loading { .. }) {
+                    resident.state = Residence::Ready;
+                    resident.last_used = now;
+                }
+            }
+        }
+        self.residents.retain(|adapter, resident| {
+            let Residence::Loading { since } = resident.state else {
+                return true;
+            };
+            let shown = incoming.contains(adapter);
+            shown || now.saturating_duration_since(since) < INCOMING_LAG
+        });
+        for adapter in incoming {
+            let loading = Resident::new(Residence::Loading { since: now }, now);
+            self.residents.entry(adapter.clone()).or_insert(loading);
+        }
+    }
 }
 
 /// Returns the pause after `failures` failed loads in a row.
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -1,5 +1,7 @@
 //! What an entry knows of one agent.
 
+use dogwoodshunt_residency::Demand;
+use dogwoodshunt_residency::PrefixRecord;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::report::ReportUpdate;
@@ -8,9 +10,14 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::NodeId;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
+/// Time after which a report shows an attempt: the interval of reports and a
+/// round trip between failure domains.
+const REPORT_LAG: Duration = Duration::from_millis(110);
+
 slotmap::new_key_type! {
     /// Names an agent that the entry knows.
     pub struct AgentKey;
@@ -39,6 +46,8 @@
     report: Option<(Instant, Report)>,
     in_flight: u32,
     expected: HashMap<AdapterRef, u32>,
+    prefixes: PrefixRecord,
+    unseen: VecDeque<(Instant, u64)>,
 }
 
 impl Agent {
@@ -51,6 +60,8 @@
             report: None,
             in_flight: 0,
             expected: HashMap::new(),
+            prefixes: PrefixRecord::new(0),
+            unseen: VecDeque::new(),
         }
     }
 
@@ -58,6 +69,35 @@
     pub fn on_report(&mut self, now: Instant, update: ReportUpdate) {
         let report = Report::updated(self.last_report(), update);
         self.report = report.map(|report| (now, report)).or(self.report.take());
+        let reports = self.report.iter().flat_map(|(_, report)| &report.upstreams);
+        let kv_tokens = reports.map(|upstream| upstream.kv_tokens).sum();
+        self.prefixes.set_capacity(kv_tokens);
+    }
+
+    /// Returns how many tokens of a prompt an engine here would have to read.
+    pub fn fresh_tokens(&self, target: &Target, demand: &Demand) -> u64 {
+        let kept = self
+            .prefixes
+            .kept_tokens(&target.to_string(), &demand.parts);
+        u64::from(demand.prompt_tokens).saturating_sub(kept)
+    }
+
+    /// Returns the prompt tokens sent so lately that no report shows them.
+    pub fn unseen_tokens(&self, now: Instant) -> u64 {
+        let young = |at: &Instant| now.saturating_duration_since(*at) < REPORT_LAG;
+        let sent = self.unseen.iter().filter(|(at, _)| young(at));
+        sent.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Records the prompt of an attempt that was sent to the agent.
+    pub fn reserve_tokens(&mut self, now: Instant, target: &Target, demand: &Demand) {
+        let fresh = self.fresh_tokens(target, demand);
+        self.prefixes.record(&target.to_string(), &demand.parts);
+        let old = |at: Instant| now.saturating_duration_since(at) >= REPORT_LAG;
+        while self.unseen.front().is_some_and(|(at, _)| old(*at)) {
+            self.unseen.pop_front();
+        }
+        self.unseen.push_back((now, fresh));
     }
 
     /// Returns how many loads the agent waits for.
@@ -144,8 +184,9 @@
 pub fn serves(upstream: &UpstreamReport, target: &Target) -> bool {
     match (&upstream.serves, target) {
         (Serves::BaseModel(held), Target::Adapter { base_model, .. }) => held == base_model,
+        (Serves::BaseModel(held), Target::BaseModel(name)) => held == name,
         (Serves::Service(held), Target::Service(name)) => held == name,
         (Serves::BaseModel(_), Target::Service(_))
-        | (Serves::Service(_), Target::Adapter { .. }) => false,
+        | (Serves::Service(_), Target::Adapter { .. } | Target::BaseModel(_)) => false,
     }
 }
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -4,8 +4,10 @@
 use crate::agent::Nearness;
 use crate::agent::serves;
 use crate::settings::Settings;
+use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::report::UpstreamReport;
 use std::time::Instant;
 
 /// Load of the upstreams of an agent that can serve a target.
@@ -64,6 +66,38 @@
     }
 }
 
+/// Returns the expected time from now to the first byte of an answer, in seconds.
+///
+/// `None` where no engine of the agent tells its load in tokens. The prompts
+/// before this one and what is fresh of its own are read at the engine's rate
+/// `p`, so it takes `(unread + fresh) / p`. A KV cache that is too full frees
+/// `held / r` tokens a second where requests run `r` seconds.
+pub fn first_byte(
+    now: Instant,
+    agent: &Agent,
+    target: &Target,
+    demand: &Demand,
+    wanted: f64,
+    settings: &Settings,
+) -> Option<f64> {
+    let report = agent.report(now, settings.report_limit)?;
+    let able = |upstream: &&UpstreamReport| upstream.takes_work && serves(upstream, target);
+    let upstream = report.upstreams.iter().find(able)?;
+    let engine = upstream.engine?;
+    let rate = (engine.tokens_per_second as f64).max(1.0);
+    let fresh = agent.fresh_tokens(target, demand);
+    let ahead = engine.unread + agent.unseen_tokens(now);
+    let reading = (ahead + fresh) as f64 / rate;
+    let held = engine.held + demand.held_tokens();
+    let excess = held.saturating_sub(upstream.kv_tokens) as f64;
+    let freed = (engine.held as f64 / report.mean_run.as_secs_f64().max(0.1)).max(1.0);
+    let stalled = target.adapter().map_or(0.0, |adapter| {
+        stall(agent.nearness(adapter), wanted, settings)
+    });
+    // Reading goes on for others while an adapter is loaded.
+    Some(stalled.max(ahead as f64 / rate) + reading - ahead as f64 / rate + excess / freed)
+}
+
 /// Returns the cost of sending a request for `target` to `agent`.
 ///
 /// `wanted` counts the loads that agents wait for.
@@ -71,9 +105,17 @@
     now: Instant,
     agent: &Agent,
     target: &Target,
+    demand: &Demand,
     wanted: f64,
     settings: &Settings,
 ) -> Option<f64> {
+    if let Some(first_byte) = first_byte(now, agent, target, demand, wanted, settings) {
+        let load = target.adapter().map_or(0.0, |adapter| {
+            let nearness = agent.nearness(adapter);
+            settings.load_weight * stall(nearness, wanted, settings)
+        });
+        return Some(first_byte + load);
+    }
     let load = Load::of(now, agent, target, settings)?;
     let stalled = target.adapter().map_or(0.0, |adapter| {
         stall(agent.nearness(adapter), wanted, settings)
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Sets how many retries may be made at once after a quiet time.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Records a request.
     pub fn on_request(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.burst);
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -12,6 +12,7 @@
 use crate::retry::Verdict;
 use crate::settings::Policy;
 use crate::settings::Settings;
+use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_types::NodeId;
@@ -39,6 +40,8 @@
     pub deadline: Option<Instant>,
     /// Agents that have declined the request.
     pub excluded: &'a [AgentKey],
+    /// What the request costs an engine.
+    pub demand: &'a Demand,
 }
 
 /// What an entry knows of the agents.
@@ -151,6 +154,7 @@
             return Err(NotRun::new(NotRunReason::Leaving, NO_AGENT_RETRY));
         }
         agent.reserve(ask.target);
+        agent.reserve_tokens(now, ask.target, ask.demand);
         if let Some(adapter) = ask.target.adapter() {
             self.near.remember(key, [adapter]);
         }
@@ -214,7 +218,7 @@
         let wanted = self.wanted as f64;
         let known = candidates.iter().enumerate().filter_map(|(rank, key)| {
             let agent = &self.agents[*key];
-            let cost = cost::estimate(now, agent, ask.target, wanted, &self.settings)?;
+            let cost = cost::estimate(now, agent, ask.target, ask.demand, wanted, &self.settings)?;
             // Entries that do not know of each other's requests meet at the
             // first home, unless another one saves more than a load.
             let apart = rank.min(self.settings.homes) as f64 * self.home_step(agent, ask.target);
@@ -259,12 +263,26 @@
         homes.into_iter().map(|(_, key)| key).collect()
     }
 
+    /// Returns the expected time to the first byte, without that of the run
+    /// itself where the engine does not tell its load in tokens.
+    pub fn expected_wait(&self, now: Instant, ask: &Ask<'_>, key: AgentKey) -> Duration {
+        let Some(agent) = self.agents.get(key) else {
+            return Duration::ZERO;
+        };
+        let (wanted, settings) = (self.wanted as f64, &self.settings);
+        let first_byte = cost::first_byte(now, agent, ask.target, ask.demand, wanted, settings);
+        let wait = first_byte.unwrap_or_else(|| {
+            let load = cost::Load::of(now, agent, ask.target, settings);
+            load.map_or(0.0, |load| load.wait())
+        });
+        Duration::from_secs_f64(wait)
+    }
+
     fn check_deadline(&self, now: Instant, ask: &Ask<'_>, key: AgentKey) -> Result<(), NotRun> {
         let Some(deadline) = ask.deadline else {
             return Ok(());
         };
-        let load = cost::Load::of(now, &self.agents[key], ask.target, &self.settings);
-        let wait = Duration::from_secs_f64(load.map_or(0.0, |load| load.wait()));
+        let wait = self.expected_wait(now, ask, key);
         if now + wait < deadline {
             return Ok(());
         }
--- a/crates/dogwoodshunt_routing/src/settings.rs
+++ b/crates/dogwoodshunt_routing/src/settings.rs
@@ -26,6 +26,9 @@
     /// Cost of a second of load stall, in seconds of queue wait.
     #[builder(default = 1.0)]
     pub stall_weight: f64,
+    /// Cost of a load besides its wait, in seconds of queue wait a second of load.
+    #[builder(default = 0.5)]
+    pub load_weight: f64,
     /// Cost of an empty batch, in seconds of queue wait.
     #[builder(default = 0.05)]
     pub batch_weight: f64,
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -10,6 +10,7 @@
 use crate::retry::RetryBudget;
 use crate::retry::Tried;
 use crate::retry::Verdict;
+use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::report::ReportUpdate;
@@ -45,6 +46,8 @@
         slots: 4,
         ready: ready.iter().map(|name| adapter(name)).collect(),
         loading: Vec::new(),
+        kv_tokens: 0,
+        engine: None,
     };
     Report {
         upstreams: vec![upstream],
@@ -73,6 +76,7 @@
             target: &target,
             deadline: None,
             excluded: &[],
+            demand: &Demand::default(),
         },
     )
 }
@@ -204,6 +208,7 @@
             target: &target,
             deadline: Some(now + Duration::from_secs(1)),
             excluded: &[],
+            demand: &Demand::default(),
         },
     );
     let refused = refused.unwrap_err();
--- a/crates/dogwoodshunt_runtime/src/lib.rs
+++ b/crates/dogwoodshunt_runtime/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! This crate holds no decisions. [`settings`] reads files, [`telemetry`]
 //! writes logs and metrics, [`traffic`] runs the traffic threads, [`link`]
-//! carries frames between processes, [`shutdown`] waits for signals and
+//! carries frames between processes, [`ownership`] takes over upstreams, [`shutdown`] waits for signals and
 //! [`program`] is what the mains share.
 
 pub mod boot;
 pub mod link;
+pub mod ownership;
 pub mod program;
 pub mod settings;
 pub mod shutdown;
--- a/crates/dogwoodshunt_agent/src/ownership.rs
+++ b/crates/dogwoodshunt_runtime/src/ownership.rs
@@ -1,6 +1,5 @@
 //! Taking over the host's upstreams, and making sure of them after a pause.
 
-use crate::control::Event;
 use async_channel::Receiver;
 use async_channel::Sender;
 use dogwoodshunt_border::kv::Kv;
@@ -19,8 +18,20 @@
 /// Mean pause between tries while the key-value service does not answer.
 const RETRY_PAUSE: Duration = Duration::from_secs(1);
 
+/// Whether this process may order its host's upstreams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ownership {
+    /// It owns them.
+    Owned {
+        /// Fencing number of its orders.
+        epoch: Epoch,
+    },
+    /// Another process has taken over.
+    Superseded,
+}
+
 /// Keeps this process the owner of its host's upstreams.
-pub struct OwnershipWorker<K> {
+pub struct OwnershipWorker<K, E> {
     /// The key-value service.
     pub kv: Arc<K>,
     /// Name of this agent.
@@ -30,12 +41,12 @@
     /// How long a predecessor may go on without hearing that it was replaced.
     pub predecessor_pause: Duration,
     /// Where the results go.
-    pub events: Sender<Event>,
+    pub events: Sender<E>,
     /// Where changes are logged.
     pub log: Logger,
 }
 
-impl<K: Kv> OwnershipWorker<K> {
+impl<K: Kv, E: From<Ownership>> OwnershipWorker<K, E> {
     /// Takes over, then verifies the ownership each time `doubts` yields.
     pub async fn work(self, doubts: Receiver<()>) {
         let epoch = self.take_over().await;
@@ -44,14 +55,14 @@
             // A predecessor that still runs stops ordering within this time.
             Timer::after(self.predecessor_pause).await;
         }
-        self.tell(Event::Owned { epoch }).await;
+        self.tell(Ownership::Owned { epoch }).await;
         while doubts.recv().await.is_ok() {
             if !self.verify().await {
                 warn!(self.log, "superseded"; "epoch" => epoch);
-                self.tell(Event::Superseded).await;
+                self.tell(Ownership::Superseded).await;
                 return;
             }
-            self.tell(Event::Owned { epoch }).await;
+            self.tell(Ownership::Owned { epoch }).await;
         }
     }
 
@@ -78,8 +89,8 @@
         }
     }
 
-    async fn tell(&self, event: Event) {
-        let _ = self.events.send(event).await;
+    async fn tell(&self, ownership: Ownership) {
+        let _ = self.events.send(ownership.into()).await;
     }
 }
 
--- a/crates/dogwoodshunt_runtime/src/program.rs
+++ b/crates/dogwoodshunt_runtime/src/program.rs
@@ -28,6 +28,7 @@
     /// Runs the program.
     Run {
         /// Settings file, JSON with comments.
+        #[arg(env = "DOGWOODSHUNT_CONFIG")]
         settings: PathBuf,
     },
 }
--- a/crates/dogwoodshunt_runtime/src/telemetry.rs
+++ b/crates/dogwoodshunt_runtime/src/telemetry.rs
@@ -21,9 +21,9 @@
 /// Log lines that may wait to be written.
 const LOG_QUEUE: usize = 8192;
 
-/// Returns a logger that writes to standard error.
+/// Returns a logger that writes to standard output.
 pub fn logger(settings: &TelemetrySettings, program: &'static str, node: &str) -> Logger {
-    let lines = slog_logfmt::Logfmt::new(io::stderr())
+    let lines = slog_logfmt::Logfmt::new(io::stdout())
         .set_prefix(write_time)
         .build();
     let drain = Mutex::new(lines).fuse();
--- a/crates/dogwoodshunt_types/src/adapter.rs
+++ b/crates/dogwoodshunt_types/src/adapter.rs
@@ -40,6 +40,16 @@
     }
 }
 
+/// Returns whether version `a` is newer than `b`, where versions are numbers.
+///
+/// Versions that are no numbers have no order; none is newer.
+pub fn is_newer(a: &str, b: &str) -> bool {
+    match (a.parse::<u64>(), b.parse::<u64>()) {
+        (Ok(a), Ok(b)) => a > b,
+        _ => false,
+    }
+}
+
 /// Returns whether `text` may name an adapter, a version or a node.
 ///
 /// Names hold ASCII letters, digits, `-`, `_` and `.`, and at most
--- a/crates/dogwoodshunt_types/src/rendezvous.rs
+++ b/crates/dogwoodshunt_types/src/rendezvous.rs
@@ -4,7 +4,12 @@
 
 /// Returns the weight of `candidate` for `key`; the highest weight wins.
 pub fn weight(key: &str, candidate: &str) -> u64 {
-    xxh3_64_with_seed(candidate.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+    hash(candidate.as_bytes(), hash(key.as_bytes(), 0))
+}
+
+/// Returns the hash of `bytes`, the same in every process.
+pub fn hash(bytes: &[u8], seed: u64) -> u64 {
+    xxh3_64_with_seed(bytes, seed)
 }
 
 /// Returns the `count` candidates with the highest weights for `key`, best first.
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -4,6 +4,7 @@
 use dogwoodshunt_catalogue::LogEntry;
 use dogwoodshunt_catalogue::snapshot::Shard;
 use dogwoodshunt_freshness::Summary;
+use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_types::AdapterRef;
@@ -16,12 +17,14 @@
 use dogwoodshunt_types::Priority;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::Revision;
+use dogwoodshunt_types::UnixMillis;
+use dogwoodshunt_types::UpstreamName;
 use serde::Deserialize;
 use serde::Serialize;
 use std::time::Duration;
 
 /// Version of the frames; both sides must speak the same.
-pub const PROTOCOL: u32 = 2;
+pub const PROTOCOL: u32 = 3;
 
 /// Bytes of answer that an agent may have unacknowledged per request.
 pub const WINDOW_BYTES: usize = 256 * 1024;
@@ -47,6 +50,17 @@
         /// Number of the first chunk that the entry does not hold.
         next: u64,
     },
+    /// Entry to agent: asks for room for a run that the entry makes itself.
+    Admit(Box<Admit>),
+    /// Agent to entry: the run may start now.
+    Admitted {
+        /// Attempt that may start.
+        request: RequestId,
+        /// Upstream that has room for it.
+        upstream: UpstreamName,
+        /// What is ready there; its version may be newer than the one asked for.
+        target: Target,
+    },
     /// Both ways: heartbeat.
     Beat(Box<Beat>),
     /// Entry to agent: the caller has gone.
@@ -65,6 +79,13 @@
     },
     /// Agent to entry: first message on a connection.
     Challenge(Challenge),
+    /// Entry to agent: an admitted run is over.
+    Done {
+        /// Attempt that ran.
+        request: RequestId,
+        /// Whether the upstream said that it holds no such adapter.
+        adapter_missing: bool,
+    },
     /// Agent to entry: the answer is complete.
     End {
         /// Attempt that is answered.
@@ -86,6 +107,11 @@
         /// What went wrong, for the caller.
         message: Box<str>,
     },
+    /// Entry to agent: the first byte of an admitted run's answer has come.
+    FirstByte {
+        /// Attempt that runs.
+        request: RequestId,
+    },
     /// Entry to agent: permission to load.
     Grant {
         /// Adapter that may be loaded.
@@ -130,6 +156,8 @@
     },
     /// Entry to agent: run a request.
     Submit(Box<Submit>),
+    /// Entry to agent: what is in force for the agent's upstream.
+    Terms(Box<Terms>),
     /// Agent to entry: third message on a connection.
     Welcome {
         /// Proof that the agent holds the shared key.
@@ -187,6 +215,75 @@
     pub body: Bytes,
 }
 
+/// A run that an entry wants to make.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Admit {
+    /// This attempt.
+    #[serde(rename = "q")]
+    pub request: RequestId,
+    /// What to run.
+    #[serde(rename = "t")]
+    pub target: Target,
+    /// What the run costs the engine.
+    #[serde(rename = "d")]
+    pub demand: Demand,
+    /// Time left until the first byte is late.
+    #[serde(rename = "u")]
+    pub due_in: Duration,
+    /// Time left until the first byte is of no more use.
+    #[serde(rename = "l")]
+    pub time_left: Duration,
+    /// Whether the run has already started, under an earlier connection.
+    #[serde(rename = "s")]
+    pub started: bool,
+}
+
+/// What is in force for the upstream of an agent, as an entry knows it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Terms {
+    /// Revision of the configuration.
+    pub revision: Revision,
+    /// The upstream, once the entry knows it.
+    pub upstream: Option<UpstreamIdentity>,
+    /// What an engine of the service holds.
+    pub engine: EngineTerms,
+    /// Versions that were declared.
+    pub versions: Vec<DeclaredVersion>,
+}
+
+/// Which start of an upstream a name stands for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UpstreamIdentity {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// When it started, by its own clock; 0 if it does not tell.
+    pub started: UnixMillis,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// What an engine of a service holds.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineTerms {
+    /// Base model that the engine serves.
+    pub base_model: Box<str>,
+    /// Requests that run at once.
+    pub batch: u32,
+    /// Tokens that the KV cache holds.
+    pub kv_tokens: u64,
+    /// Adapters that fit at once.
+    pub slots: u32,
+}
+
+/// A version of an adapter that was declared to be in force.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DeclaredVersion {
+    /// The adapter and its version.
+    pub adapter: AdapterRef,
+    /// Revision of the declaration.
+    pub revision: Revision,
+}
+
 /// Status and headers of an answer.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AnswerHead {
@@ -230,6 +327,9 @@
     /// Load of the sending agent, or what of it has changed.
     #[serde(rename = "r")]
     pub report: Option<ReportUpdate>,
+    /// Entries that are connected to the sending agent; 0 from an entry.
+    #[serde(default, rename = "x")]
+    pub entries: u32,
     /// What the sending agent knows of entries; only now and then.
     #[serde(rename = "p")]
     pub peers: Vec<PeerState>,
