--- a/crates/dogwoodshunt_residency/src/orders.rs
+++ b/crates/dogwoodshunt_residency/src/orders.rs
@@ -106,10 +106,10 @@
     pub fn on_base_refused(&mut self, now: Instant, key: UpstreamKey) {
         let pause = self.settings.backoff_first;
         let since = (now + pause).checked_sub(self.settings.base_load_limit);
-        if let Some(upstream) = self.upstreams.get_mut(key) {
-            if let (Base::Loading { .. }, Some(since)) = (upstream.base, since) {
-                upstream.base = Base::Loading { since };
-            }
+        if let Some(upstream) = self.upstreams.get_mut(key)
+            && let (Base::Loading { .. }, Some(since)) = (upstream.base, since)
+        {
+            upstream.base = Base::Loading { since };
         }
     }
 
@@ -117,12 +117,11 @@
     /// for another one gets this one.
     pub fn retarget(&mut self, newer: &AdapterRef) {
         for key in &self.queue {
-            if let Some(AnyJob::Queued(job)) = self.jobs.get_mut(*key) {
-                if let Target::Adapter { adapter, .. } = &mut job.target {
-                    if adapter.name == newer.name {
-                        *adapter = newer.clone();
-                    }
-                }
+            if let Some(AnyJob::Queued(job)) = self.jobs.get_mut(*key)
+                && let Target::Adapter { adapter, .. } = &mut job.target
+                && adapter.name == newer.name
+            {
+                *adapter = newer.clone();
             }
         }
     }
--- a/crates/dogwoodshunt_residency/src/residency.rs
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -334,10 +334,10 @@
     pub fn forget_adapter_of(&mut self, key: JobKey) {
         if let Some(AnyJob::Running(job)) = self.jobs.get(key).cloned() {
             let upstream = self.upstreams.get_mut(job.upstream());
-            if let (Some(upstream), Some(adapter)) = (upstream, job.target.adapter()) {
-                if let Some(resident) = upstream.residents.get_mut(adapter) {
-                    resident.state = Residence::Unsure;
-                }
+            if let (Some(upstream), Some(adapter)) = (upstream, job.target.adapter())
+                && let Some(resident) = upstream.residents.get_mut(adapter)
+            {
+                resident.state = Residence::Unsure;
             }
         }
     }
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -334,11 +334,11 @@
         listed: &[AdapterRef],
     ) {
         for adapter in listed.iter().filter(|adapter| !incoming.contains(adapter)) {
-            if let Some(resident) = self.residents.get_mut(adapter) {
-                if matches!(resident.state, Residence::Loading { .. }) {
-                    resident.state = Residence::Ready;
-                    resident.last_used = now;
-                }
+            if let Some(resident) = self.residents.get_mut(adapter)
+                && matches!(resident.state, Residence::Loading { .. })
+            {
+                resident.state = Residence::Ready;
+                resident.last_used = now;
             }
         }
         self.residents.retain(|adapter, resident| {
