Spread popular adapters: pace by whole readings, small home steps, copies

A further home cost 250 ms a rank and a load 125 ms more, so nobody moved; and the pace of reading came out as up to 1,200 tokens/ms, since several prompts of one step answer together.

Ruled out: too little capacity (13.2 of about 34 million tokens were read).

--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -8,6 +8,8 @@
 use crate::call::guard::RunGuard;
 use crate::call::refusal;
 use crate::call::stream;
+use crate::call::stream::Passing;
+use crate::call::stream::Story;
 use crate::control::Event;
 use crate::control::Grant;
 use crate::control::PlaceAsk;
@@ -56,7 +58,9 @@
         loop {
             let ticket = self.ticket();
             let mut guard = RunGuard::new(ticket, self.events.clone());
-            let grant = match self.place(task, model, ticket).await {
+            let placed = self.place(task, model, ticket).await;
+            let granted = Instant::now();
+            let grant = match placed {
                 Ok(grant) => grant,
                 Err(not_run) => {
                     let left = task.deadline.saturating_duration_since(task.call.arrived);
@@ -69,13 +73,20 @@
                 }
             };
             let upstream = Some(grant.upstream.clone());
+            let (id, arrived) = (&task.call.id, task.call.arrived);
+            let story = || Story::new(granted, id, arrived, self.log.clone());
             let attempt = self.attempt(task, &grant, &mut guard).await;
             let again = match attempt {
                 Attempt::Answered(exchange) => {
                     let answer = Answer::Upstream {
                         status: exchange.status,
                         headers: exchange.headers.clone(),
-                        body: stream::pass_on(*exchange, guard, task.deadline),
+                        body: stream::pass_on(Passing {
+                            exchange: *exchange,
+                            guard,
+                            deadline: task.deadline,
+                            story: story(),
+                        }),
                     };
                     let sent = sent + 1;
                     return Told {
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -299,6 +299,7 @@
         if self.beat_due <= now {
             self.beat_due = now + self.limits.heartbeat;
             self.beat_all(now);
+            self.router.prune(now);
         }
     }
 
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -63,12 +63,21 @@
 /// with exponent 1.2 takes a fifth of all requests, so several engines.
 const ROUTING_HOMES: usize = 6;
 
+/// Cost of each further home: longer than the estimates of two entries differ
+/// by, short against the reading of a long prompt.
+const HOME_STEP: Duration = Duration::from_millis(30);
+
+/// Adapters that a host keeps a copy of after they were unloaded.
+const HOST_COPIES: usize = 40;
+
 impl GatewaySettings {
     /// Returns the weights and limits of placing; `boot` seeds the choices.
     pub fn routing(&self, boot: BootId) -> Routing {
         Routing::builder()
             .homes(ROUTING_HOMES)
             .batch_weight(0.0)
+            .home_step(HOME_STEP)
+            .host_copies(HOST_COPIES)
             // What an adapter takes while the weight store is not crowded;
             // agents tell no wants here, so the store's queue does not count.
             .load_time(Duration::from_millis(250))
--- a/crates/dogwoodshunt_residency/src/pace.rs
+++ b/crates/dogwoodshunt_residency/src/pace.rs
@@ -3,22 +3,27 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Rate assumed before the first answer, in tokens per millisecond; half of
-/// what a present engine reads, so that a first guess refuses nobody.
-const FIRST_RATE: f64 = 20.0;
+/// Rate assumed before the first reading, in tokens per millisecond: somewhat
+/// below what a present engine reads, so that a first guess refuses nobody.
+const FIRST_RATE: f64 = 30.0;
 
 /// Weight of the newest reading in the mean rate.
-const SMOOTHING: f64 = 0.2;
+const SMOOTHING: f64 = 0.3;
 
-/// Fewest tokens of a reading that tells the rate; shorter ones tell the
-/// fixed cost of a step.
-const LEAST_TOKENS: u64 = 1_000;
+/// Tokens of one reading: an engine reads several prompts in one step and
+/// answers them together, so that a few prompts alone tell nothing.
+const READING_TOKENS: u64 = 10_000;
+
+/// Slowest and fastest rate believed, in tokens per millisecond.
+const LEAST_RATE: f64 = 2.0;
+const MOST_RATE: f64 = 400.0;
 
 /// Rate at which an engine reads prompts.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
     rate: f64,
     busy_since: Option<Instant>,
+    busy: Duration,
     read: u64,
 }
 
@@ -27,6 +32,7 @@
         Self {
             rate: FIRST_RATE,
             busy_since: None,
+            busy: Duration::ZERO,
             read: 0,
         }
     }
@@ -41,18 +47,15 @@
     /// Records that a prompt of `tokens` was read; `left` tokens wait.
     pub fn on_read(&mut self, now: Instant, tokens: u64, left: u64) {
         self.read += tokens;
-        let Some(since) = self.busy_since else {
-            return;
-        };
-        if self.read >= LEAST_TOKENS {
-            let took = now.saturating_duration_since(since).as_secs_f64() * 1e3;
-            let seen = self.read as f64 / took.max(1.0);
-            self.rate += SMOOTHING * (seen - self.rate);
-            self.busy_since = Some(now);
-            self.read = 0;
+        if let Some(since) = self.busy_since {
+            self.busy += now.saturating_duration_since(since);
         }
-        if left == 0 {
-            self.busy_since = None;
+        self.busy_since = (left > 0).then_some(now);
+        if self.read >= READING_TOKENS && !self.busy.is_zero() {
+            let seen = self.read as f64 / (self.busy.as_secs_f64() * 1e3);
+            let seen = seen.clamp(LEAST_RATE, MOST_RATE);
+            self.rate += SMOOTHING * (seen - self.rate);
+            self.busy = Duration::ZERO;
             self.read = 0;
         }
     }
@@ -64,6 +67,6 @@
 
     /// Returns how long reading `tokens` takes.
     pub fn time(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.rate.max(0.1) / 1e3)
+        Duration::from_secs_f64(tokens as f64 / self.rate / 1e3)
     }
 }
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -30,6 +30,8 @@
     Ready,
     /// The adapter is being loaded, or this entry has just sent a request for it.
     Coming,
+    /// The adapter was there lately, and its host keeps a copy.
+    Copied,
     /// The adapter is not there.
     Absent,
 }
@@ -48,6 +50,7 @@
     expected: HashMap<AdapterRef, u32>,
     prefixes: PrefixRecord,
     unseen: VecDeque<(Instant, u64)>,
+    copies: VecDeque<AdapterRef>,
 }
 
 impl Agent {
@@ -62,16 +65,34 @@
             expected: HashMap::new(),
             prefixes: PrefixRecord::new(0),
             unseen: VecDeque::new(),
+            copies: VecDeque::new(),
         }
     }
 
     /// Takes in a load report, or what of it has changed.
-    pub fn on_report(&mut self, now: Instant, update: ReportUpdate) {
+    ///
+    /// The host keeps copies of the last `host_copies` adapters that have left.
+    pub fn on_report(&mut self, now: Instant, update: ReportUpdate, host_copies: usize) {
+        let before: Vec<AdapterRef> = match &update {
+            ReportUpdate::Full(_) => self.reported().cloned().collect(),
+            ReportUpdate::Load(_) => Vec::new(),
+        };
         let report = Report::updated(self.last_report(), update);
         self.report = report.map(|report| (now, report)).or(self.report.take());
         let reports = self.report.iter().flat_map(|(_, report)| &report.upstreams);
         let kv_tokens = reports.map(|upstream| upstream.kv_tokens).sum();
         self.prefixes.set_capacity(kv_tokens);
+        self.note_copies(before, host_copies);
+    }
+
+    /// Notes which adapters have left the engines since `before`.
+    fn note_copies(&mut self, before: Vec<AdapterRef>, host_copies: usize) {
+        let present: Vec<AdapterRef> = self.reported().cloned().collect();
+        self.copies.retain(|copy| !present.contains(copy));
+        let left = before.into_iter().filter(|held| !present.contains(held));
+        self.copies.extend(left);
+        let excess = self.copies.len().saturating_sub(host_copies);
+        self.copies.drain(..excess);
     }
 
     /// Returns how many tokens of a prompt an engine here would have to read.
@@ -176,6 +197,9 @@
         if loading || self.expected.contains_key(adapter) {
             return Nearness::Coming;
         }
+        if self.copies.contains(adapter) {
+            return Nearness::Copied;
+        }
         Nearness::Absent
     }
 }
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -62,6 +62,7 @@
     match nearness {
         Nearness::Ready => 0.0,
         Nearness::Coming => whole / 2.0,
+        Nearness::Copied => settings.reload_time.as_secs_f64(),
         Nearness::Absent => whole,
     }
 }
@@ -100,20 +101,24 @@
 
 /// Returns the cost of sending a request for `target` to `agent`.
 ///
-/// `wanted` counts the loads that agents wait for.
+/// `wanted` counts the loads that agents wait for, `popularity` the lately
+/// seen requests for the adapter, which stand for those to come.
 pub fn estimate(
     now: Instant,
     agent: &Agent,
     target: &Target,
     demand: &Demand,
     wanted: f64,
+    popularity: f64,
     settings: &Settings,
 ) -> Option<f64> {
     if let Some(first_byte) = first_byte(now, agent, target, demand, wanted, settings) {
-        let load = target.adapter().map_or(0.0, |adapter| {
-            let nearness = agent.nearness(adapter);
-            settings.load_weight * stall(nearness, wanted, settings)
-        });
+        let load = match target.adapter().map(|adapter| agent.nearness(adapter)) {
+            Some(Nearness::Absent) => {
+                settings.load_weight * settings.load_time.as_secs_f64() / (1.0 + popularity)
+            }
+            Some(Nearness::Coming | Nearness::Copied | Nearness::Ready) | None => 0.0,
+        };
         return Some(first_byte + load);
     }
     let load = Load::of(now, agent, target, settings)?;
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -14,6 +14,7 @@
 use crate::settings::Settings;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::popularity::Popularity;
 use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::NotRun;
@@ -52,6 +53,7 @@
     near: NearIndex,
     wanted: usize,
     budget: RetryBudget,
+    popularity: Popularity,
     rng: ChaCha8Rng,
 }
 
@@ -60,12 +62,14 @@
     pub fn new(settings: Settings) -> Self {
         let budget = RetryBudget::new(settings.retry_ratio, settings.retry_burst);
         let rng = ChaCha8Rng::seed_from_u64(settings.seed);
+        let popularity = Popularity::new(settings.popularity_half_life);
         Self {
             settings,
             agents: SlotMap::with_key(),
             near: NearIndex::default(),
             wanted: 0,
             budget,
+            popularity,
             rng,
         }
     }
@@ -75,6 +79,11 @@
         self.agents.insert(Agent::new(node))
     }
 
+    /// Forgets adapters that have fallen idle.
+    pub fn prune(&mut self, now: Instant) {
+        self.popularity.prune(now);
+    }
+
     /// Removes an agent.
     pub fn remove_agent(&mut self, key: AgentKey) {
         if let Some(agent) = self.agents.remove(key) {
@@ -121,10 +130,10 @@
         };
         self.wanted -= agent.wanted();
         if matches!(update, ReportUpdate::Load(_)) {
-            agent.on_report(now, update);
+            agent.on_report(now, update, self.settings.host_copies);
         } else {
             self.near.forget(key, agent.reported());
-            agent.on_report(now, update);
+            agent.on_report(now, update, self.settings.host_copies);
             self.near.remember(key, agent.reported());
         }
         self.wanted += agent.wanted();
@@ -157,6 +166,7 @@
         agent.reserve_tokens(now, ask.target, ask.demand);
         if let Some(adapter) = ask.target.adapter() {
             self.near.remember(key, [adapter]);
+            self.popularity.record(now, adapter);
         }
         Ok(key)
     }
@@ -216,9 +226,14 @@
             }
         }
         let wanted = self.wanted as f64;
+        let adapter = ask.target.adapter();
+        let popularity = adapter.map_or(0.0, |adapter| self.popularity.get(now, adapter));
+        let settings = &self.settings;
         let known = candidates.iter().enumerate().filter_map(|(rank, key)| {
             let agent = &self.agents[*key];
-            let cost = cost::estimate(now, agent, ask.target, ask.demand, wanted, &self.settings)?;
+            let cost = cost::estimate(
+                now, agent, ask.target, ask.demand, wanted, popularity, settings,
+            )?;
             // Entries that do not know of each other's requests meet at the
             // first home, unless another one saves more than a load.
             let apart = rank.min(self.settings.homes) as f64 * self.home_step(agent, ask.target);
@@ -234,7 +249,7 @@
             .adapter()
             .is_some_and(|adapter| agent.nearness(adapter) == Nearness::Absent);
         if absent {
-            self.settings.stall_weight * self.settings.load_time.as_secs_f64()
+            self.settings.stall_weight * self.settings.home_step.as_secs_f64()
         } else {
             0.0
         }
--- a/crates/dogwoodshunt_routing/src/settings.rs
+++ b/crates/dogwoodshunt_routing/src/settings.rs
@@ -26,9 +26,23 @@
     /// Cost of a second of load stall, in seconds of queue wait.
     #[builder(default = 1.0)]
     pub stall_weight: f64,
-    /// Cost of a load besides its wait, in seconds of queue wait a second of load.
+    /// Cost of a load besides its wait, in seconds of queue wait a second of
+    /// load, shared by the requests that are expected to use it.
     #[builder(default = 0.5)]
     pub load_weight: f64,
+    /// Cost of each further home where the adapter is absent: entries that do
+    /// not know of each other's requests meet at the first one.
+    #[builder(default = Duration::from_millis(250))]
+    pub home_step: Duration,
+    /// Adapters that a host keeps a copy of after they were unloaded.
+    #[builder(default = 0)]
+    pub host_copies: usize,
+    /// Time that a load takes where the host keeps a copy.
+    #[builder(default = Duration::from_millis(25))]
+    pub reload_time: Duration,
+    /// Half-life of an adapter's popularity.
+    #[builder(default = Duration::from_secs(5))]
+    pub popularity_half_life: Duration,
     /// Cost of an empty batch, in seconds of queue wait.
     #[builder(default = 0.05)]
     pub batch_weight: f64,
--- a/crates/dogwoodshunt_steward/src/control/engine.rs
+++ b/crates/dogwoodshunt_steward/src/control/engine.rs
@@ -261,6 +261,20 @@
         }
     }
 
+    /// Logs what the engine does, as this process and as the engine see it.
+    pub(super) fn log_load(&self) {
+        let upstream = self.engine.key.and_then(|key| self.residency.upstream(key));
+        let (Some(upstream), Some(report)) = (upstream, &self.engine.report) else {
+            return;
+        };
+        info!(self.around.log, "load"; "granted" => upstream.running,
+            "queued" => self.residency.queued_len(), "unread" => upstream.tokens.unread,
+            "held" => upstream.tokens.held,
+            "tokens_per_ms" => format!("{:.1}", upstream.tokens.pace.rate()),
+            "residents" => upstream.residents.len(), "engine_running" => report.running,
+            "engine_waiting" => report.waiting, "engine_kv" => report.kv_used);
+    }
+
     pub(super) fn engine_epoch(&self) -> Epoch {
         self.engine.epoch.unwrap_or(0)
     }
--- a/crates/dogwoodshunt_steward/src/control/mod.rs
+++ b/crates/dogwoodshunt_steward/src/control/mod.rs
@@ -48,6 +48,9 @@
 /// Events handled before the next decision.
 const EVENTS_PER_DECISION: usize = 64;
 
+/// Time between two log lines on the engine's load.
+const ACCOUNT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time in which entries hear that this process is leaving, before it ends.
 const FAREWELL: Duration = Duration::from_millis(150);
 
@@ -126,6 +129,7 @@
     by_job: HashMap<JobKey, RequestId>,
     heartbeat: Duration,
     stopping: Option<Instant>,
+    account_due: Instant,
     violations: ViolationWatch,
 }
 
@@ -147,6 +151,7 @@
             by_job: HashMap::new(),
             heartbeat: Duration::from_millis(settings.heartbeat_ms),
             stopping: None,
+            account_due: now,
             violations: ViolationWatch::default(),
         }
     }
@@ -213,6 +218,10 @@
         self.violations.look(&self.around.log);
         self.release_abandoned(now);
         self.beat_due(now);
+        if self.account_due <= now {
+            self.account_due = now + ACCOUNT_INTERVAL;
+            self.log_load();
+        }
     }
 
     fn on_stop(&mut self, now: Instant) {
