Reckon with 32 adapter loads a second instead of four

Cause: the router adds the store's queue to the stall of a load, at the rate of whole base models (4 a second).

Ruled out: the engines' own limits; agents declined only a handful.

Change: adapters come eight at once in 250 ms each, 32 a second.

--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -67,6 +67,13 @@
 /// by, short against the reading of a long prompt.
 const HOME_STEP: Duration = Duration::from_millis(30);
 
+/// Time that an adapter takes while the weight store is not crowded.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+
+/// Adapters that the weight store brings in a second: eight at once, each in
+/// the time of one load.
+const LOADS_PER_SECOND: f64 = 32.0;
+
 /// Adapters that a host keeps a copy of after they were unloaded.
 const HOST_COPIES: usize = 40;
 
@@ -78,9 +85,8 @@
             .batch_weight(0.0)
             .home_step(HOME_STEP)
             .host_copies(HOST_COPIES)
-            // What an adapter takes while the weight store is not crowded;
-            // agents tell no wants here, so the store's queue does not count.
-            .load_time(Duration::from_millis(250))
+            .load_time(LOAD_TIME)
+            .loads_per_second(LOADS_PER_SECOND)
             .seed(boot)
             .build()
     }
