--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -140,6 +140,13 @@
         /// Where the answer goes.
         reply: Sender<bool>,
     },
+    /// The settings have changed.
+    Settings {
+        /// Retries that a service may get for each request.
+        retry_ratio: f64,
+        /// Retries that a service may get besides, for all entries together.
+        retry_slack: f64,
+    },
     /// The process was asked to stop.
     Stop,
     /// The platform's store has answered.
@@ -277,6 +284,10 @@
             Event::Retry { service, reply } => {
                 let _ = reply.try_send(self.budgets.take(&service));
             }
+            Event::Settings {
+                retry_ratio,
+                retry_slack,
+            } => self.budgets.set_limits(retry_ratio, retry_slack),
             Event::Stop => self.stopping = true,
             Event::StoreAnswered(topic) => {
                 if topic == Topic::Upstreams {
--- a/crates/dogwoodshunt_gateway/src/control/plain.rs
+++ b/crates/dogwoodshunt_gateway/src/control/plain.rs
@@ -51,6 +51,19 @@
         }
     }
 
+    /// Takes over limits that have changed; budgets start anew, and empty.
+    pub(super) fn set_limits(&mut self, ratio: f64, slack: f64) {
+        if (ratio, slack) == (self.ratio, self.slack) {
+            return;
+        }
+        (self.ratio, self.slack) = (ratio, slack);
+        let burst = self.burst();
+        for budget in self.by_service.values_mut() {
+            *budget = RetryBudget::new(ratio, burst);
+            budget.drain();
+        }
+    }
+
     /// Takes over how many entries an agent sees.
     pub(super) fn on_entries(&mut self, now: Instant, entries: u32) {
         let age = self
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -75,6 +75,8 @@
     pub decoder: Arc<D>,
     /// Sends calls to upstreams.
     pub upstreams: Arc<U>,
+    /// Settings as they change.
+    pub changes: Receiver<GatewaySettings>,
 }
 
 /// An entry that is ready to run.
@@ -122,7 +124,9 @@
         U: Upstreams,
         H: Handler,
     {
-        let Program { traffic, log, stop } = self.program;
+        let Program {
+            traffic, log, stop, ..
+        } = self.program;
         let settings = self.settings;
         let me = Identity {
             node: settings.node.name.clone(),
@@ -158,6 +162,19 @@
             };
             traffic.spawn(follower.work()).detach();
         }
+        let (changes, changed) = (adapters.changes, events.clone());
+        let follow = async move {
+            while let Ok(settings) = changes.recv().await {
+                let event = Event::Settings {
+                    retry_ratio: settings.retry_ratio(),
+                    retry_slack: settings.retries.slack,
+                };
+                if changed.send(event).await.is_err() {
+                    return;
+                }
+            }
+        };
+        traffic.spawn(follow).detach();
         let calls = Calls {
             upstreams: adapters.upstreams,
             events: events.clone(),
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -66,6 +66,11 @@
         self.tokens = self.tokens.min(burst);
     }
 
+    /// Takes all retries that are left.
+    pub fn drain(&mut self) {
+        self.tokens = 0.0;
+    }
+
     /// Records a request.
     pub fn on_request(&mut self) {
         self.tokens = (self.tokens + self.ratio).min(self.burst);
--- a/crates/dogwoodshunt_runtime/src/lib.rs
+++ b/crates/dogwoodshunt_runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings, logs, metrics, threads and links that the programs share.
 //!
-//! This crate holds no decisions. [`settings`] reads files, [`telemetry`]
+//! This crate holds no decisions. [`settings`] reads files, [`reload`]
+//! follows them, [`telemetry`]
 //! writes logs and metrics, [`traffic`] runs the traffic threads, [`link`]
 //! carries frames between processes, [`ownership`] takes over upstreams, [`shutdown`] waits for signals and
 //! [`program`] is what the mains share.
@@ -9,6 +10,7 @@
 pub mod link;
 pub mod ownership;
 pub mod program;
+pub mod reload;
 pub mod settings;
 pub mod shutdown;
 pub mod telemetry;
--- a/crates/dogwoodshunt_runtime/src/program.rs
+++ b/crates/dogwoodshunt_runtime/src/program.rs
@@ -1,5 +1,6 @@
 //! What the mains of entry and agent share: `check` and `run`.
 
+use crate::reload::Reloader;
 use crate::settings;
 use crate::settings::Checked;
 use crate::settings::TelemetrySettings;
@@ -10,6 +11,7 @@
 use async_channel::Receiver;
 use clap::Subcommand;
 use slog::Logger;
+use slog::error;
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -53,6 +55,24 @@
     pub log: Logger,
     /// Closes on SIGTERM and SIGINT.
     pub stop: Receiver<()>,
+    /// The settings file.
+    pub settings: PathBuf,
+}
+
+impl Surroundings {
+    /// Returns settings as they change; those that are refused are only logged.
+    pub fn settings_changes<S: Checked + Send + 'static>(&self) -> Receiver<S> {
+        let (changes, changed) = async_channel::bounded(1);
+        let reloader = Reloader::new(self.settings.clone(), self.log.clone());
+        let log = self.log.clone();
+        let work = async move {
+            if let Err(error) = reloader.work(changes).await {
+                error!(log, "settings are not followed"; "error" => %error);
+            }
+        };
+        self.traffic.spawn(work).detach();
+        changed
+    }
 }
 
 /// Carries out `command` of program `name`; `serve` runs on this thread.
@@ -76,7 +96,7 @@
         println!("{}: good", path.display());
         return ExitCode::SUCCESS;
     }
-    match start(name, settings, serve) {
+    match start(name, path, settings, serve) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
@@ -85,7 +105,12 @@
     }
 }
 
-fn start<S, F>(name: &'static str, settings: S, serve: F) -> Result<(), Box<dyn Error>>
+fn start<S, F>(
+    name: &'static str,
+    path: PathBuf,
+    settings: S,
+    serve: F,
+) -> Result<(), Box<dyn Error>>
 where
     S: ProgramSettings,
     F: FnOnce(S, Surroundings) -> Result<(), Box<dyn Error>>,
@@ -99,5 +124,11 @@
         drop(stopping);
     };
     traffic.spawn(wait).detach();
-    serve(settings, Surroundings { traffic, log, stop })
+    let around = Surroundings {
+        traffic,
+        log,
+        stop,
+        settings: path,
+    };
+    serve(settings, around)
 }
