--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -33,6 +33,9 @@
     pub grace_ms: u64,
     /// Limits on sending requests again.
     pub retries: RetrySettings,
+    /// Weights of placing model requests.
+    #[serde(default)]
+    pub placing: PlacingSettings,
     /// Time between two heartbeats, in milliseconds.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
@@ -51,6 +54,37 @@
     pub slack: f64,
 }
 
+/// Weights of placing model requests; costs are in seconds of wait for the
+/// first byte.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlacingSettings {
+    /// Hosts that an adapter may be brought to: the most popular one of a Zipf
+    /// law with exponent 1.2 takes a fifth of all requests, so several engines.
+    pub homes: usize,
+    /// Cost of each further home, in milliseconds: more than the estimates of
+    /// two entries differ by, little against the reading of a long prompt.
+    pub home_step_ms: u64,
+    /// Cost of a load besides its wait, a second of load.
+    pub load_weight: f64,
+    /// Cost of holding up one running request for a second.
+    pub interference_weight: f64,
+    /// Cost of a second from the first byte to the last.
+    pub output_weight: f64,
+}
+
+impl Default for PlacingSettings {
+    fn default() -> Self {
+        Self {
+            homes: 6,
+            home_step_ms: 30,
+            load_weight: 0.5,
+            interference_weight: 0.0,
+            output_weight: 0.0,
+        }
+    }
+}
+
 fn default_heartbeat_ms() -> u64 {
     500
 }
@@ -59,14 +93,6 @@
 /// counts in one window and its retry in the next.
 const RATIO_USED: f64 = 0.9;
 
-/// Hosts that an adapter may be brought to: the most popular one of a Zipf law
-/// with exponent 1.2 takes a fifth of all requests, so several engines.
-const ROUTING_HOMES: usize = 6;
-
-/// Cost of each further home: longer than the estimates of two entries differ
-/// by, short against the reading of a long prompt.
-const HOME_STEP: Duration = Duration::from_millis(30);
-
 /// Time that an adapter takes while the weight store is not crowded.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 
@@ -80,11 +106,15 @@
 impl GatewaySettings {
     /// Returns the weights and limits of placing; `boot` seeds the choices.
     pub fn routing(&self, boot: BootId) -> Routing {
+        let placing = &self.placing;
         Routing::builder()
-            .homes(ROUTING_HOMES)
+            .homes(placing.homes)
             .batch_weight(0.0)
-            .home_step(HOME_STEP)
+            .home_step(Duration::from_millis(placing.home_step_ms))
             .host_copies(HOST_COPIES)
+            .interference_weight(placing.interference_weight)
+            .output_weight(placing.output_weight)
+            .load_weight(placing.load_weight)
             .load_time(LOAD_TIME)
             .loads_per_second(LOADS_PER_SECOND)
             .seed(boot)
@@ -115,6 +145,23 @@
         if self.retries.slack.is_nan() || self.retries.slack < 0.0 {
             return Err(Misfit::new("retries.slack", "must not be below 0"));
         }
+        self.placing.check()
+    }
+}
+
+impl PlacingSettings {
+    fn check(&self) -> Result<(), Misfit> {
+        check_range("placing.homes", self.homes as u64, 1, 64)?;
+        check_range("placing.home_step_ms", self.home_step_ms, 0, 10_000)?;
+        for (field, weight) in [
+            ("placing.load_weight", self.load_weight),
+            ("placing.interference_weight", self.interference_weight),
+            ("placing.output_weight", self.output_weight),
+        ] {
+            if !(0.0..=100.0).contains(&weight) {
+                return Err(Misfit::new(field, "must lie between 0 and 100"));
+            }
+        }
         Ok(())
     }
 }
--- a/crates/dogwoodshunt_residency/src/pace.rs
+++ b/crates/dogwoodshunt_residency/src/pace.rs
@@ -14,6 +14,9 @@
 /// answers them together, so that a few prompts alone tell nothing.
 const READING_TOKENS: u64 = 10_000;
 
+/// Time over which the share of reading is taken.
+const SHARE_TIME: Duration = Duration::from_secs(1);
+
 /// Slowest and fastest rate believed, in tokens per millisecond.
 const LEAST_RATE: f64 = 2.0;
 const MOST_RATE: f64 = 400.0;
@@ -25,6 +28,8 @@
     busy_since: Option<Instant>,
     busy: Duration,
     read: u64,
+    share: f64,
+    share_at: Option<Instant>,
 }
 
 impl Default for Pace {
@@ -34,6 +39,8 @@
             busy_since: None,
             busy: Duration::ZERO,
             read: 0,
+            share: 0.0,
+            share_at: None,
         }
     }
 }
@@ -41,11 +48,26 @@
 impl Pace {
     /// Records that a prompt was handed to the engine.
     pub fn on_start(&mut self, now: Instant) {
+        self.share = self.share(now);
+        self.share_at = Some(now);
         self.busy_since.get_or_insert(now);
     }
 
+    /// Returns the share of the last second or so in which prompts were read.
+    pub fn share(&self, now: Instant) -> f64 {
+        let Some(at) = self.share_at else {
+            return 0.0;
+        };
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        let kept = (-age / SHARE_TIME.as_secs_f64()).exp();
+        let present = if self.busy_since.is_some() { 1.0 } else { 0.0 };
+        self.share * kept + present * (1.0 - kept)
+    }
+
     /// Records that a prompt of `tokens` was read; `left` tokens wait.
     pub fn on_read(&mut self, now: Instant, tokens: u64, left: u64) {
+        self.share = self.share(now);
+        self.share_at = Some(now);
         self.read += tokens;
         if let Some(since) = self.busy_since {
             self.busy += now.saturating_duration_since(since);
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -20,6 +20,9 @@
 /// Most wants that one report carries.
 const MAX_WANTS: usize = 16;
 
+/// Step to which a percentage is rounded.
+const PERCENT_STEP: f64 = 10.0;
+
 /// Step to which a rate is rounded, in tokens a second.
 const RATE_STEP: u64 = 1_000;
 
@@ -35,6 +38,9 @@
     /// Prompt tokens read in a second.
     #[serde(rename = "p")]
     pub tokens_per_second: u64,
+    /// Percentage of the last second in which prompts were read.
+    #[serde(rename = "b")]
+    pub reading_percent: u8,
 }
 
 /// Load of one upstream.
@@ -190,14 +196,14 @@
     /// Returns the present load.
     pub fn report(&self, now: Instant) -> Report {
         Report {
-            upstreams: self.upstream_reports(),
+            upstreams: self.upstream_reports(now),
             queued: to_u32(self.queued_len()),
             mean_run: self.mean_run(),
             wants: self.wants(now),
         }
     }
 
-    fn upstream_reports(&self) -> Vec<UpstreamReport> {
+    fn upstream_reports(&self, now: Instant) -> Vec<UpstreamReport> {
         let with_state = |wanted: fn(&Residence) -> bool, key| -> Vec<AdapterRef> {
             let residents = self.upstream(key).into_iter().flat_map(|u| &u.residents);
             let chosen = residents.filter(|(_, resident)| wanted(&resident.state));
@@ -223,7 +229,7 @@
                     u64::MAX => 0,
                     known => known,
                 },
-                engine: self.engine_load(key),
+                engine: self.engine_load(now, key),
                 ready: with_state(|s| *s == Residence::Ready, key),
                 loading: with_state(|s| matches!(s, Residence::Loading { .. }), key),
             })
@@ -231,7 +237,7 @@
     }
 
     /// Returns the load of an engine whose KV cache is known.
-    fn engine_load(&self, key: UpstreamKey) -> Option<EngineLoad> {
+    fn engine_load(&self, now: Instant, key: UpstreamKey) -> Option<EngineLoad> {
         let upstream = self.upstream(key)?;
         if upstream.room.kv_tokens == u64::MAX {
             return None;
@@ -243,11 +249,13 @@
             AnyJob::Queued(_) | AnyJob::Running(_) => 0,
         });
         let per_second = (upstream.tokens.pace.rate() * 1e3) as u64;
+        let reading = upstream.tokens.pace.share(now) * 100.0 / PERCENT_STEP;
         Some(EngineLoad {
             unread: upstream.tokens.unread + waiting.sum::<u64>(),
             held: upstream.tokens.held,
             // Rounded, so that a report doesn't change with every answer.
             tokens_per_second: per_second / RATE_STEP * RATE_STEP,
+            reading_percent: (reading.round() * PERCENT_STEP) as u8,
         })
     }
 
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -99,6 +99,29 @@
     Some(stalled.max(ahead as f64 / rate) + reading - ahead as f64 / rate + excess / freed)
 }
 
+/// Returns the cost of what follows the first byte, in seconds of wait.
+///
+/// Reading the prompt holds up each of the running requests, and an engine that
+/// reads prompts most of the time produces tokens slowly.
+fn after_first_byte(
+    now: Instant,
+    agent: &Agent,
+    target: &Target,
+    demand: &Demand,
+    settings: &Settings,
+) -> Option<f64> {
+    let report = agent.report(now, settings.report_limit)?;
+    let able = |upstream: &&UpstreamReport| upstream.takes_work && serves(upstream, target);
+    let upstream = report.upstreams.iter().find(able)?;
+    let engine = upstream.engine?;
+    let rate = (engine.tokens_per_second as f64).max(1.0);
+    let reading = agent.fresh_tokens(target, demand) as f64 / rate;
+    let held_up = reading * f64::from(upstream.running);
+    let slowed = f64::from(engine.reading_percent) / 100.0 * settings.reading_step.as_secs_f64();
+    let output = f64::from(demand.output_tokens) * slowed;
+    Some(settings.interference_weight * held_up + settings.output_weight * output)
+}
+
 /// Returns the cost of sending a request for `target` to `agent`.
 ///
 /// `wanted` counts the loads that agents wait for, `popularity` the lately
@@ -119,7 +142,8 @@
             }
             Some(Nearness::Coming | Nearness::Copied | Nearness::Ready) | None => 0.0,
         };
-        return Some(first_byte + load);
+        let after = after_first_byte(now, agent, target, demand, settings);
+        return Some(first_byte + load + after.unwrap_or(0.0));
     }
     let load = Load::of(now, agent, target, settings)?;
     let stalled = target.adapter().map_or(0.0, |adapter| {
--- a/crates/dogwoodshunt_routing/src/settings.rs
+++ b/crates/dogwoodshunt_routing/src/settings.rs
@@ -30,6 +30,16 @@
     /// load, shared by the requests that are expected to use it.
     #[builder(default = 0.5)]
     pub load_weight: f64,
+    /// Cost of holding up one running request for a second, in seconds of wait.
+    #[builder(default = 0.0)]
+    pub interference_weight: f64,
+    /// Cost of a second until the last byte, in seconds of wait for the first.
+    #[builder(default = 0.0)]
+    pub output_weight: f64,
+    /// Time of one step of an engine that reads a full piece of a prompt in it;
+    /// each running request gets one token a step.
+    #[builder(default = Duration::from_millis(60))]
+    pub reading_step: Duration,
     /// Cost of each further home where the adapter is absent: entries that do
     /// not know of each other's requests meet at the first one.
     #[builder(default = Duration::from_millis(250))]
