Go on with a resumable stream at another engine

Cause: a stream that broke off ended for its caller, also where its route lets it go on (batch-digest, flange-review).

Ruled out: passing bytes on as they come; a runner may stop in the middle of an event, and the next run begins with a whole one.

Change: on such routes whole events only are passed on; a break has the request placed again, within attempts and retry budget, after the last whole event, under the first head and signature.

--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -3,6 +3,7 @@
 //! [`Calls::serve`] finds the route, then `model` or `plain` gets the request
 //! run, and `stream` passes the events of a model's answer on.
 
+mod events;
 mod guard;
 mod model;
 mod plain;
@@ -37,6 +38,19 @@
 /// Pause that a caller is told while this entry knows no configuration yet.
 const STARTING_RETRY: Duration = Duration::from_millis(300);
 
+/// Sends of which nothing arrived that one request may take; they draw on no
+/// budget, since no upstream sees them.
+const MOST_UNREACHED: u32 = 3;
+
+/// Sends of one request so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sends {
+    /// Those that may have reached an upstream.
+    sent: u32,
+    /// Those of which nothing arrived.
+    unreached: u32,
+}
+
 /// What a caller asks a model for.
 #[derive(Clone, Debug)]
 pub struct ModelAsk {
@@ -114,10 +128,10 @@
 }
 
 /// A request with what its route says of it.
-struct Task<'a> {
-    call: &'a Call,
-    route: &'a Route,
-    service: &'a ServiceName,
+struct Task {
+    call: Call,
+    route: Arc<Route>,
+    service: ServiceName,
     /// When the caller, or the route, stops waiting for the end.
     deadline: Instant,
 }
@@ -140,7 +154,7 @@
 
 impl<U: Upstreams> Calls<U> {
     /// Serves one request; dropping the future gives it up.
-    pub async fn serve(&self, call: Call) -> Answer {
+    pub async fn serve(self: &Arc<Self>, call: Call) -> Answer {
         let Some(table) = self.status.routes() else {
             let not_run = NotRun::new(NotRunReason::Stale, STARTING_RETRY);
             return self.note(&call, None, Told::unsent(Answer::NotRun(not_run)));
@@ -148,24 +162,24 @@
         let Some(route) = table.find(&call.host, &call.path) else {
             return self.note(&call, None, Told::unsent(Answer::NoRoute));
         };
-        let Some(service) = route.service_for(&call.id) else {
+        let Some(service) = route.service_for(&call.id).cloned() else {
             return self.note(&call, Some(route), Told::unsent(Answer::NoRoute));
         };
         let waits = call.patience.unwrap_or(route.timeout).min(route.timeout);
-        let task = Task {
-            call: &call,
-            route,
-            service,
-            deadline: call.arrived + waits,
-        };
-        let engine = table.config().service(service);
+        let engine = table.config().service(&service);
         let is_engine = engine.is_some_and(|service| service.engine.is_some());
-        let told = match (&call.model, is_engine) {
-            (Some(model), true) => self.run_model(&task, model).await,
+        let task = Arc::new(Task {
+            deadline: call.arrived + waits,
+            call,
+            route: route.clone(),
+            service,
+        });
+        let told = match (&task.call.model, is_engine) {
+            (Some(_), true) => self.run_model(&task).await,
             (None, true) => Told::unsent(Answer::Malformed("the request names no model".into())),
             (_, false) => self.run_plain(&task).await,
         };
-        self.note(&call, Some(route), told)
+        self.note(&task.call, Some(&task.route), told)
     }
 
     /// Logs what a request came to, one line a request.
@@ -190,7 +204,17 @@
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Asks whether a request may be sent a second time.
+    /// Returns whether a request that has run, or may have, is sent again.
+    async fn may_run_again(&self, task: &Task, sends: &Sends) -> bool {
+        task.route.is_repeatable() && self.may_send_again(task, sends).await
+    }
+
+    /// Returns whether a request that has not run is sent again.
+    async fn may_send_again(&self, task: &Task, sends: &Sends) -> bool {
+        sends.sent < task.route.attempts && self.may_retry(&task.service).await
+    }
+
+    /// Asks whether a service may get one more retry.
     async fn may_retry(&self, service: &ServiceName) -> bool {
         let (reply, answer) = async_channel::bounded(1);
         let service = service.clone();
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -2,7 +2,8 @@
 
 use crate::call::Answer;
 use crate::call::Calls;
-use crate::call::ModelAsk;
+use crate::call::MOST_UNREACHED;
+use crate::call::Sends;
 use crate::call::Task;
 use crate::call::Told;
 use crate::call::guard::RunGuard;
@@ -23,127 +24,162 @@
 use dogwoodshunt_serving::admission;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::Version;
 use slog::warn;
 use smol::Timer;
 use smol::future::FutureExt;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Sends of which nothing arrived that one request may take; they draw on no
-/// budget, since no upstream sees them.
-const MOST_UNREACHED: u32 = 3;
-
 /// Pause that a caller is told after an upstream refused its request.
 const REFUSED_RETRY: Duration = Duration::from_millis(200);
 
-/// How one attempt to get a run ended without an answer for the caller.
-enum Attempt {
-    /// Nothing was sent.
-    Unreached(Box<str>),
+/// An engine that answers.
+pub(super) struct Engaged {
+    /// Its answer.
+    pub(super) exchange: Exchange,
+    /// Ends the run.
+    pub(super) guard: RunGuard,
+    /// Its name.
+    pub(super) upstream: UpstreamName,
+    /// When the run was granted.
+    pub(super) granted: Instant,
+}
+
+/// A request that no engine answers.
+pub(super) struct Failed {
+    /// What the caller is told.
+    pub(super) answer: Answer,
+    /// Engine that was asked last.
+    pub(super) upstream: Option<UpstreamName>,
+}
+
+/// How one send ended without an answer.
+enum Missed {
+    /// No answer came by the deadline.
+    Late,
     /// The upstream says that it has not run the request.
     NotRun,
     /// It may have run.
     Unknown(Box<str>),
-    /// No answer came by the deadline.
-    Late,
-    /// The upstream answers.
-    Answered(Box<Exchange>),
+    /// Nothing was sent.
+    Unreached(Box<str>),
 }
 
 impl<U: Upstreams> Calls<U> {
-    pub(super) async fn run_model(&self, task: &Task<'_>, model: &ModelAsk) -> Told {
-        let mut sent = 0;
-        let mut unreached = 0;
+    pub(super) async fn run_model(self: &Arc<Self>, task: &Arc<Task>) -> Told {
+        let mut sends = Sends::default();
+        match self.engage(task, &mut sends, task.call.resume_after).await {
+            Ok(engaged) => {
+                let story = Story::new(engaged.granted, &task.call, self.log.clone());
+                let upstream = Some(engaged.upstream);
+                let answer = Answer::Upstream {
+                    status: engaged.exchange.status,
+                    headers: engaged.exchange.headers.clone(),
+                    body: stream::pass_on(Passing {
+                        calls: self.clone(),
+                        task: task.clone(),
+                        sends,
+                        exchange: engaged.exchange,
+                        guard: engaged.guard,
+                        story,
+                    }),
+                };
+                let sent = sends.sent;
+                Told {
+                    answer,
+                    upstream,
+                    sent,
+                }
+            }
+            Err(Failed { answer, upstream }) => {
+                let sent = sends.sent;
+                Told {
+                    answer,
+                    upstream,
+                    sent,
+                }
+            }
+        }
+    }
+
+    /// Gets an engine to answer, from event `resume_after` on.
+    pub(super) async fn engage(
+        &self,
+        task: &Task,
+        sends: &mut Sends,
+        resume_after: Option<u64>,
+    ) -> Result<Engaged, Failed> {
         loop {
             let ticket = self.ticket();
             let mut guard = RunGuard::new(ticket, self.events.clone());
-            let placed = self.place(task, model, ticket).await;
+            let placed = self.place(task, ticket).await;
             let granted = Instant::now();
-            let grant = match placed {
-                Ok(grant) => grant,
-                Err(not_run) => {
-                    let left = task.deadline.saturating_duration_since(task.call.arrived);
-                    let useful = admission::useful_wait(task.route, left);
-                    return Told {
-                        answer: refusal(not_run, useful),
-                        upstream: None,
-                        sent,
-                    };
-                }
-            };
-            let upstream = Some(grant.upstream.clone());
-            let (id, arrived) = (&task.call.id, task.call.arrived);
-            let story = || Story::new(granted, id, arrived, self.log.clone());
-            let attempt = self.attempt(task, &grant, &mut guard).await;
-            let again = match attempt {
-                Attempt::Answered(exchange) => {
-                    let answer = Answer::Upstream {
-                        status: exchange.status,
-                        headers: exchange.headers.clone(),
-                        body: stream::pass_on(Passing {
-                            exchange: *exchange,
-                            guard,
-                            deadline: task.deadline,
-                            story: story(),
-                        }),
-                    };
-                    let sent = sent + 1;
-                    return Told {
-                        answer,
-                        upstream,
-                        sent,
-                    };
-                }
-                Attempt::Late => {
-                    return Told {
-                        answer: Answer::Late,
-                        upstream,
-                        sent: sent + 1,
-                    };
-                }
-                Attempt::Unreached(why) => {
-                    warn!(self.log, "engine not reached"; "id" => %task.call.id,
-                        "upstream" => %grant.upstream, "error" => %why);
-                    unreached += 1;
-                    unreached < MOST_UNREACHED
-                }
-                Attempt::NotRun => {
-                    sent += 1;
-                    sent < task.route.attempts && self.may_retry(task.service).await
-                }
-                Attempt::Unknown(why) => {
-                    sent += 1;
-                    let again = task.route.is_repeatable()
-                        && sent < task.route.attempts
-                        && self.may_retry(task.service).await;
-                    if !again {
-                        let answer = Answer::Lost(why);
-                        return Told {
-                            answer,
-                            upstream,
-                            sent,
-                        };
-                    }
-                    true
+            let grant = placed.map_err(|not_run| Failed {
+                answer: refusal(not_run, useful_wait(task)),
+                upstream: None,
+            })?;
+            let missed = match self.send(task, &grant, &mut guard, resume_after).await {
+                Ok(exchange) => {
+                    sends.sent += 1;
+                    return Ok(Engaged {
+                        exchange,
+                        guard,
+                        upstream: grant.upstream,
+                        granted,
+                    });
                 }
+                Err(missed) => missed,
             };
-            if !again {
-                let not_run = NotRun::new(NotRunReason::Overloaded, REFUSED_RETRY);
-                return Told {
-                    answer: refusal(not_run, Duration::ZERO),
-                    upstream,
-                    sent,
-                };
+            if let Some(answer) = self.give_up(task, sends, &grant, missed).await {
+                let upstream = Some(grant.upstream);
+                return Err(Failed { answer, upstream });
+            }
+        }
+    }
+
+    /// Returns what the caller is told, unless another engine is to be asked.
+    async fn give_up(
+        &self,
+        task: &Task,
+        sends: &mut Sends,
+        grant: &Grant,
+        missed: Missed,
+    ) -> Option<Answer> {
+        let not_run = NotRun::new(NotRunReason::Overloaded, REFUSED_RETRY);
+        match missed {
+            Missed::Unreached(why) => {
+                warn!(self.log, "engine not reached"; "id" => %task.call.id,
+                    "upstream" => %grant.upstream, "error" => %why);
+                sends.unreached += 1;
+                let again = sends.unreached < MOST_UNREACHED;
+                (!again).then(|| refusal(not_run, Duration::ZERO))
+            }
+            Missed::NotRun => {
+                sends.sent += 1;
+                let again = sends.sent < task.route.attempts && self.may_retry(&task.service).await;
+                (!again).then(|| refusal(not_run, Duration::ZERO))
+            }
+            Missed::Unknown(why) => {
+                sends.sent += 1;
+                (!self.may_run_again(task, sends).await).then_some(Answer::Lost(why))
+            }
+            Missed::Late => {
+                sends.sent += 1;
+                Some(Answer::Late)
             }
         }
     }
 
     /// Asks for an engine, until the first byte is of no more use.
-    async fn place(&self, task: &Task<'_>, model: &ModelAsk, ticket: u64) -> Result<Grant, NotRun> {
-        let now = Instant::now();
-        let left = task.deadline.saturating_duration_since(now);
-        let useful_until = now + admission::useful_wait(task.route, left);
+    async fn place(&self, task: &Task, ticket: u64) -> Result<Grant, NotRun> {
+        let stopping = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY);
+        let Some(model) = &task.call.model else {
+            return Err(stopping);
+        };
+        let useful_until = Instant::now() + useful_wait(task);
         let mut demand = model.demand.clone();
         demand.rank = task.route.rank;
         let ask = PlaceAsk {
@@ -160,7 +196,6 @@
             ask: Box::new(ask),
             reply,
         };
-        let stopping = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY);
         if self.events.send(place).await.is_err() {
             return Err(stopping);
         }
@@ -172,7 +207,13 @@
         answered.or(late).await
     }
 
-    async fn attempt(&self, task: &Task<'_>, grant: &Grant, guard: &mut RunGuard) -> Attempt {
+    async fn send(
+        &self,
+        task: &Task,
+        grant: &Grant,
+        guard: &mut RunGuard,
+        resume_after: Option<u64>,
+    ) -> Result<Exchange, Missed> {
         let time_left = task.deadline.saturating_duration_since(Instant::now());
         let how = Dispatch {
             address: grant.address,
@@ -180,34 +221,43 @@
             version: version_of(&grant.target),
             time_left,
             rank: task.route.rank,
-            resume_after: task.call.resume_after,
+            resume_after,
         };
-        let sent = async { Some(self.upstreams.send(task.call, &how).await) };
+        let sent = async { Some(self.upstreams.send(&task.call, &how).await) };
         let late = async {
             Timer::at(task.deadline).await;
             None
         };
         match sent.or(late).await {
-            None => Attempt::Late,
-            Some(Err(SendError::NotSent { message, .. })) => Attempt::Unreached(message),
-            Some(Err(SendError::Lost { message, .. })) => Attempt::Unknown(message),
+            None => Err(Missed::Late),
+            Some(Err(SendError::NotSent { message, .. })) => Err(Missed::Unreached(message)),
+            Some(Err(SendError::Lost { message, .. })) => Err(Missed::Unknown(message)),
             Some(Ok(reply)) => take(reply, guard),
         }
     }
 }
 
-fn take(reply: Reply, guard: &mut RunGuard) -> Attempt {
+fn take(reply: Reply, guard: &mut RunGuard) -> Result<Exchange, Missed> {
     match reply.said {
-        Said::Runs => Attempt::Answered(Box::new(reply.exchange)),
-        Said::NotRunFull => Attempt::NotRun,
+        Said::Runs => Ok(reply.exchange),
+        Said::NotRunFull => Err(Missed::NotRun),
         Said::NotRunHere => {
             guard.adapter_missing = true;
-            Attempt::NotRun
+            Err(Missed::NotRun)
+        }
+        Said::Foreign => {
+            let why = "the answer belongs to another request";
+            Err(Missed::Unknown(why.into()))
         }
-        Said::Foreign => Attempt::Unknown("the answer belongs to another request".into()),
     }
 }
 
+/// Returns how long from now the first byte may still take and be of use.
+fn useful_wait(task: &Task) -> Duration {
+    let left = task.deadline.saturating_duration_since(Instant::now());
+    admission::useful_wait(&task.route, left)
+}
+
 fn version_of(target: &Target) -> Option<Version> {
     target.adapter().map(|adapter| adapter.version.clone())
 }
--- a/crates/dogwoodshunt_gateway/src/call/plain.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain.rs
@@ -2,6 +2,8 @@
 
 use crate::call::Answer;
 use crate::call::Calls;
+use crate::call::MOST_UNREACHED;
+use crate::call::Sends;
 use crate::call::Task;
 use crate::call::Told;
 use crate::call::guard::CallGuard;
@@ -29,9 +31,6 @@
 /// Largest answer that is held until it is whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
-/// Sends of which nothing arrived that one request may take.
-const MOST_UNREACHED: u32 = 3;
-
 /// Objectives after which a call that may be repeated goes to another
 /// upstream: one whose answer is lost says nothing more.
 const REPEAT_AFTER_OBJECTIVES: u32 = 2;
@@ -54,9 +53,9 @@
 }
 
 impl<U: Upstreams> Calls<U> {
-    pub(super) async fn run_plain(&self, task: &Task<'_>) -> Told {
+    pub(super) async fn run_plain(&self, task: &Task) -> Told {
         let mut excluded: Vec<UpstreamName> = Vec::new();
-        let mut sent = 0;
+        let mut sends = Sends::default();
         let mut last: Option<Answer> = None;
         loop {
             let pick = self.pick(task, &excluded).await;
@@ -64,37 +63,40 @@
             let Some(pick) = pick.filter(|_| in_time) else {
                 let not_run = NotRun::new(NotRunReason::NoUpstream, REFUSED_RETRY);
                 let answer = last.unwrap_or_else(|| refusal(not_run, Duration::ZERO));
-                return self.told(answer, &excluded, sent);
+                return self.told(answer, &excluded, sends.sent);
             };
             excluded.push(pick.upstream.clone());
-            let may_repeat = sent + 1 < task.route.attempts;
+            let may_repeat = sends.sent + 1 < task.route.attempts;
             let attempt = self.call(task, pick, may_repeat).await;
             let again = match attempt {
-                Attempt::Unreached(_) => excluded.len() < MOST_UNREACHED as usize,
+                Attempt::Unreached(_) => {
+                    sends.unreached += 1;
+                    sends.unreached < MOST_UNREACHED
+                }
                 Attempt::NotRun => {
-                    sent += 1;
-                    may_repeat && self.may_retry(task.service).await
+                    sends.sent += 1;
+                    self.may_send_again(task, &sends).await
                 }
                 Attempt::Unknown(why) => {
-                    sent += 1;
+                    sends.sent += 1;
                     last = Some(Answer::Lost(why));
-                    self.may_run_again(task, may_repeat).await
+                    self.may_run_again(task, &sends).await
                 }
                 Attempt::Silent => {
-                    sent += 1;
+                    sends.sent += 1;
                     last = Some(Answer::Late);
-                    self.may_run_again(task, may_repeat).await
+                    self.may_run_again(task, &sends).await
                 }
                 Attempt::Answered(exchange, whole) => {
-                    sent += 1;
+                    sends.sent += 1;
                     let failed = exchange.status.is_server_error();
                     let answer = Answer::Upstream {
                         status: exchange.status,
                         headers: exchange.headers.clone(),
                         body: body::full(whole),
                     };
-                    if !failed || !self.may_run_again(task, may_repeat).await {
-                        return self.told(answer, &excluded, sent);
+                    if !failed || !self.may_run_again(task, &sends).await {
+                        return self.told(answer, &excluded, sends.sent);
                     }
                     last = Some(answer);
                     true
@@ -103,7 +105,7 @@
             if !again {
                 let not_run = NotRun::new(NotRunReason::Overloaded, REFUSED_RETRY);
                 let answer = last.unwrap_or_else(|| refusal(not_run, Duration::ZERO));
-                return self.told(answer, &excluded, sent);
+                return self.told(answer, &excluded, sends.sent);
             }
         }
     }
@@ -116,12 +118,7 @@
         }
     }
 
-    /// Returns whether a request that may have run is sent again.
-    async fn may_run_again(&self, task: &Task<'_>, may_repeat: bool) -> bool {
-        task.route.is_repeatable() && may_repeat && self.may_retry(task.service).await
-    }
-
-    async fn pick(&self, task: &Task<'_>, excluded: &[UpstreamName]) -> Option<Pick> {
+    async fn pick(&self, task: &Task, excluded: &[UpstreamName]) -> Option<Pick> {
         let (reply, picked) = async_channel::bounded(1);
         let pick = Event::Pick {
             service: task.service.clone(),
@@ -132,7 +129,7 @@
         picked.recv().await.ok().flatten()
     }
 
-    async fn call(&self, task: &Task<'_>, pick: Pick, may_repeat: bool) -> Attempt {
+    async fn call(&self, task: &Task, pick: Pick, may_repeat: bool) -> Attempt {
         let now = Instant::now();
         let how = Dispatch {
             address: pick.address,
@@ -176,8 +173,8 @@
         attempt
     }
 
-    async fn send_and_read(&self, task: &Task<'_>, how: &Dispatch) -> Attempt {
-        let reply = match self.upstreams.send(task.call, how).await {
+    async fn send_and_read(&self, task: &Task, how: &Dispatch) -> Attempt {
+        let reply = match self.upstreams.send(&task.call, how).await {
             Ok(reply) => reply,
             Err(SendError::NotSent { message, .. }) => return Attempt::Unreached(message),
             Err(SendError::Lost { message, .. }) => return Attempt::Unknown(message),
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -1,6 +1,16 @@
 //! Passing on of a model's answer, event by event.
+//!
+//! An answer that breaks off goes on at another engine where its route allows
+//! that: whole events only are passed on, and the next run continues after the
+//! last of them, under the head of the first.
 
+use crate::call::Call;
+use crate::call::Calls;
+use crate::call::Sends;
+use crate::call::Task;
+use crate::call::events::Events;
 use crate::call::guard::RunGuard;
+use crate::ports::Upstreams;
 use bytes::Bytes;
 use dogwoodshunt_border::http::AnswerBody;
 use dogwoodshunt_border::http::Exchange;
@@ -8,19 +18,25 @@
 use dogwoodshunt_border::http::body::BrokenOff;
 use slog::Logger;
 use slog::info;
+use slog::warn;
 use smol::Timer;
 use smol::future::FutureExt;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-/// What is passed on, and what is logged of it.
-pub(super) struct Passing {
+/// An answer to pass on.
+pub(super) struct Passing<U> {
+    /// Serves requests, for a run that goes on elsewhere.
+    pub(super) calls: Arc<Calls<U>>,
+    /// The request.
+    pub(super) task: Arc<Task>,
+    /// Its sends so far.
+    pub(super) sends: Sends,
     /// The upstream's answer.
     pub(super) exchange: Exchange,
     /// Ends the run.
     pub(super) guard: RunGuard,
-    /// When the caller stops waiting.
-    pub(super) deadline: Instant,
     /// What is logged.
     pub(super) story: Story,
 }
@@ -33,20 +49,22 @@
     first: Option<Duration>,
     last: Instant,
     longest_pause: Duration,
+    resumed: u32,
     outcome: &'static str,
     log: Logger,
 }
 
 impl Story {
-    /// Begins the account of the request `id`, granted at `now`.
-    pub(super) fn new(now: Instant, id: &str, arrived: Instant, log: Logger) -> Self {
+    /// Begins the account of `call`, granted at `now`.
+    pub(super) fn new(now: Instant, call: &Call, log: Logger) -> Self {
         Self {
-            id: id.into(),
-            arrived,
-            granted: now.saturating_duration_since(arrived),
+            id: call.id.clone(),
+            arrived: call.arrived,
+            granted: now.saturating_duration_since(call.arrived),
             first: None,
             last: now,
             longest_pause: Duration::ZERO,
+            resumed: 0,
             outcome: "caller-left",
             log,
         }
@@ -69,65 +87,109 @@
         let took = self.last.saturating_duration_since(self.arrived);
         info!(self.log, "stream ended"; "id" => %self.id, "outcome" => self.outcome,
             "granted_ms" => millis(self.granted),
-            "first_ms" => self.first.map(millis).unwrap_or(0),
+            "first_ms" => self.first.map(millis).unwrap_or(0), "resumed" => self.resumed,
             "pause_ms" => millis(self.longest_pause), "took_ms" => millis(took));
     }
 }
 
 /// An answer that is being passed on; dropping it stops the upstream.
-struct Stream {
-    exchange: Exchange,
-    guard: RunGuard,
+struct Stream<U> {
+    passing: Passing<U>,
     deadline: Timer,
-    story: Story,
+    /// Present where the answer may go on elsewhere.
+    events: Option<Events>,
     over: bool,
 }
 
-impl Stream {
+impl<U: Upstreams> Stream<U> {
     async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
-        if self.over {
-            return None;
-        }
-        let late = async {
-            (&mut self.deadline).await;
-            None
-        };
-        let chunk = async { Some(self.exchange.chunk().await) };
-        let chunk = chunk.or(late).await;
-        let now = Instant::now();
-        let Some(chunk) = chunk else {
-            self.over = true;
-            self.story.outcome = "deadline";
-            let reason = "the deadline has passed".into();
-            return Some(Err(BrokenOff { reason }));
-        };
-        match &chunk {
-            Some(Ok(_)) => {
-                if self.story.first.is_none() {
-                    self.guard.first_byte();
+        while !self.over {
+            let late = async {
+                (&mut self.deadline).await;
+                None
+            };
+            let chunk = async { Some(self.passing.exchange.chunk().await) };
+            let passed_on = match chunk.or(late).await {
+                None => Some(Err(self.end_late())),
+                Some(Some(Ok(bytes))) => self.on_bytes(&bytes).map(Ok),
+                Some(Some(Err(broken))) => self.on_break(broken).await.map(Err),
+                Some(None) => {
+                    self.over = true;
+                    self.passing.story.outcome = "complete";
+                    let rest = self.events.as_mut().map(Events::take_partial);
+                    rest.filter(|rest| !rest.is_empty()).map(Ok)
                 }
-                self.story.on_chunk(now);
-            }
-            Some(Err(_)) => {
-                self.over = true;
-                self.story.outcome = "broken-off";
+            };
+            if passed_on.is_some() {
+                return passed_on;
             }
-            None => {
-                self.over = true;
-                self.story.outcome = "complete";
+        }
+        None
+    }
+
+    fn end_late(&mut self) -> BrokenOff {
+        self.over = true;
+        self.passing.story.outcome = "deadline";
+        BrokenOff {
+            reason: "the deadline has passed".into(),
+        }
+    }
+
+    /// Returns what of `bytes` may be passed on now.
+    fn on_bytes(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        if self.passing.story.first.is_none() || self.passing.story.resumed > 0 {
+            self.passing.guard.first_byte();
+        }
+        let whole = match &mut self.events {
+            Some(events) => events.push(bytes),
+            None => bytes.clone(),
+        };
+        if whole.is_empty() {
+            return None;
+        }
+        self.passing.story.on_chunk(Instant::now());
+        Some(whole)
+    }
+
+    /// Goes on at another engine, or returns the break.
+    async fn on_break(&mut self, broken: BrokenOff) -> Option<BrokenOff> {
+        let passing = &mut self.passing;
+        if let Some(events) = &mut self.events
+            && passing
+                .calls
+                .may_run_again(&passing.task, &passing.sends)
+                .await
+        {
+            let (after, _) = (events.last_id(), events.take_partial());
+            warn!(passing.calls.log, "resuming stream"; "id" => %passing.task.call.id,
+                "after" => after, "cause" => %broken);
+            let engaged = passing
+                .calls
+                .engage(&passing.task, &mut passing.sends, after)
+                .await;
+            if let Ok(engaged) = engaged
+                && engaged.exchange.status.is_success()
+            {
+                passing.exchange = engaged.exchange;
+                passing.guard = engaged.guard;
+                passing.story.resumed += 1;
+                return None;
             }
         }
-        chunk
+        self.over = true;
+        self.passing.story.outcome = "broken-off";
+        Some(broken)
     }
 }
 
-/// Returns a body that passes an upstream's answer on until its deadline.
-pub(super) fn pass_on(passing: Passing) -> AnswerBody {
+/// Returns a body that passes an upstream's answer on until the deadline.
+pub(super) fn pass_on<U: Upstreams>(passing: Passing<U>) -> AnswerBody {
+    let may_go_on = passing.task.route.is_repeatable() && passing.exchange.status.is_success();
+    let events = may_go_on.then(|| Events::after(passing.task.call.resume_after));
     let stream = Stream {
-        exchange: passing.exchange,
-        guard: passing.guard,
-        deadline: Timer::at(passing.deadline),
-        story: passing.story,
+        deadline: Timer::at(passing.task.deadline),
+        passing,
+        events,
         over: false,
     };
     let chunks = futures_util::stream::unfold(stream, |mut stream| async move {
--- a/crates/dogwoodshunt_serving/src/config.rs
+++ b/crates/dogwoodshunt_serving/src/config.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// What may happen to a request of a route.
@@ -131,19 +132,20 @@
 #[derive(Clone, Debug)]
 pub struct RouteTable {
     config: Config,
-    by_host: HashMap<Box<str>, Vec<usize>>,
+    by_host: HashMap<Box<str>, Vec<Arc<Route>>>,
 }
 
 impl RouteTable {
     /// Indexes `config`.
     pub fn new(config: Config) -> Self {
-        let mut by_host: HashMap<Box<str>, Vec<usize>> = HashMap::new();
-        for (index, route) in config.routes.iter().enumerate() {
+        let mut by_host: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
+        for route in &config.routes {
             let host = route.host.to_ascii_lowercase();
-            by_host.entry(host.into()).or_default().push(index);
+            let routes = by_host.entry(host.into()).or_default();
+            routes.push(Arc::new(route.clone()));
         }
         for routes in by_host.values_mut() {
-            routes.sort_by_key(|index| std::cmp::Reverse(config.routes[*index].prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         Self { config, by_host }
     }
@@ -156,11 +158,11 @@
     /// Returns the route of `host` with the longest prefix that begins `path`.
     ///
     /// A port after the host's name does not count, nor does a query.
-    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
         let path = path.split('?').next().unwrap_or(path);
         let routes = self.by_host.get(name.as_str())?;
-        let mut routes = routes.iter().map(|index| &self.config.routes[*index]);
+        let mut routes = routes.iter();
         routes.find(|route| path.starts_with(route.prefix.as_ref()))
     }
 }
