Reckon with the wait for a place, and test admission by tokens

All seven places of an engine were held by running streams; the router knew which adapters an engine holds, not whether a further one fits.

Ruled out: the weight store; 888 adapters in 48 s is below its 32 a second, 559 of 1,424 loads came from the host's own memory.

Change: engines report their free places, and a load is reckoned with the time until one falls free. An agent may start four loads in one decision; it was one (several_adapters_are_on_their_way_at_once_up_to_the_limit failed first).

--- a/crates/dogwoodshunt_residency/src/budget.rs
+++ b/crates/dogwoodshunt_residency/src/budget.rs
@@ -5,13 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Loads that an agent may start at once after a quiet time without a granter.
-const SHARE_BURST: f64 = 1.0;
-
 /// Which loads this agent may start.
 #[derive(Clone, Debug)]
 pub struct LoadBudget {
     share_per_second: f64,
+    burst: f64,
     granter_timeout: Duration,
     granter_seen: Option<Instant>,
     grants: HashMap<AdapterRef, Instant>,
@@ -20,14 +18,16 @@
 }
 
 impl LoadBudget {
-    /// Creates a budget of `share_per_second` loads while no granter answers.
-    pub fn new(share_per_second: f64, granter_timeout: Duration) -> Self {
+    /// Creates a budget of `share_per_second` loads while no granter answers,
+    /// and of up to `burst` at once.
+    pub fn new(share_per_second: f64, burst: f64, granter_timeout: Duration) -> Self {
         Self {
             share_per_second,
+            burst,
             granter_timeout,
             granter_seen: None,
             grants: HashMap::new(),
-            tokens: SHARE_BURST,
+            tokens: burst,
             refilled: None,
         }
     }
@@ -72,7 +72,7 @@
         let since = self.refilled.unwrap_or(now);
         let elapsed = now.saturating_duration_since(since).as_secs_f64();
         self.refilled = Some(now);
-        self.tokens = (self.tokens + elapsed * self.share_per_second).min(SHARE_BURST);
+        self.tokens = (self.tokens + elapsed * self.share_per_second).min(self.burst);
         self.tokens
     }
 }
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -6,6 +6,7 @@
 use crate::upstream::Base;
 use crate::upstream::Kind;
 use crate::upstream::Residence;
+use crate::upstream::Upstream;
 use crate::upstream::UpstreamKey;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Priority;
@@ -38,6 +39,9 @@
     /// Prompt tokens read in a second.
     #[serde(rename = "p")]
     pub tokens_per_second: u64,
+    /// Places for adapters that are empty, or held by one that nothing uses.
+    #[serde(rename = "f")]
+    pub free_places: u32,
     /// Percentage of the last second in which prompts were read.
     #[serde(rename = "b")]
     pub reading_percent: u8,
@@ -255,10 +259,20 @@
             held: upstream.tokens.held,
             // Rounded, so that a report doesn't change with every answer.
             tokens_per_second: per_second / RATE_STEP * RATE_STEP,
+            free_places: to_u32(self.free_places(upstream)),
             reading_percent: (reading.round() * PERCENT_STEP) as u8,
         })
     }
 
+    fn free_places(&self, upstream: &Upstream) -> usize {
+        let idle = upstream.residents.iter().filter(|(adapter, resident)| {
+            let unused = resident.state == Residence::Ready && resident.pins == 0;
+            unused && !self.is_waited_for(adapter)
+        });
+        let empty = upstream.room.slots.saturating_sub(upstream.residents.len());
+        empty + idle.count()
+    }
+
     /// Returns the adapters that wait to be loaded, the costliest first.
     pub fn wants(&self, now: Instant) -> Vec<LoadWant> {
         let mut wants: HashMap<&AdapterRef, LoadWant> = HashMap::new();
--- a/crates/dogwoodshunt_residency/src/residency.rs
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -51,7 +51,11 @@
 impl Residency {
     /// Creates an agent without upstreams.
     pub fn new(settings: Settings) -> Self {
-        let budget = LoadBudget::new(settings.load_share, settings.granter_timeout);
+        let budget = LoadBudget::new(
+            settings.load_share,
+            settings.load_burst,
+            settings.granter_timeout,
+        );
         let popularity = Popularity::new(settings.popularity_half_life);
         Self {
             settings,
--- a/crates/dogwoodshunt_residency/src/settings.rs
+++ b/crates/dogwoodshunt_residency/src/settings.rs
@@ -15,6 +15,9 @@
     /// Loads per second that this agent may start without a granter.
     #[builder(default = 0.25)]
     pub load_share: f64,
+    /// Loads that this agent may start at once after a quiet time without one.
+    #[builder(default = 1.0)]
+    pub load_burst: f64,
     /// How long after its last word the granter counts as gone.
     #[builder(default = Duration::from_secs(2))]
     pub granter_timeout: Duration,
--- a/crates/dogwoodshunt_residency/src/tests.rs
+++ b/crates/dogwoodshunt_residency/src/tests.rs
@@ -2,3 +2,4 @@
 
 mod focused;
 mod randomised;
+mod tokens;
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -7,6 +7,7 @@
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::report::EngineLoad;
 use dogwoodshunt_residency::report::UpstreamReport;
 use std::time::Instant;
 
@@ -93,12 +94,27 @@
     let excess = held.saturating_sub(upstream.kv_tokens) as f64;
     let freed = (engine.held as f64 / report.mean_run.as_secs_f64().max(0.1)).max(1.0);
     let stalled = target.adapter().map_or(0.0, |adapter| {
-        stall(agent.nearness(adapter), wanted, settings)
+        let nearness = agent.nearness(adapter);
+        let place = match nearness {
+            Nearness::Absent | Nearness::Copied => place_wait(report, upstream, engine),
+            Nearness::Coming | Nearness::Ready => 0.0,
+        };
+        place + stall(nearness, wanted, settings)
     });
     // Reading goes on for others while an adapter is loaded.
     Some(stalled.max(ahead as f64 / rate) + reading - ahead as f64 / rate + excess / freed)
 }
 
+/// Returns the expected wait for a place for one more adapter, in seconds.
+///
+/// Adapters in use hold their places until their runs end, and of `n` places
+/// with runs of `r` seconds one falls free every `r / n` seconds.
+fn place_wait(report: &Report, upstream: &UpstreamReport, engine: EngineLoad) -> f64 {
+    let wanted = report.wants.len() as f64 + 1.0;
+    let short = (wanted - f64::from(engine.free_places)).max(0.0);
+    short * report.mean_run.as_secs_f64() / f64::from(upstream.slots.max(1))
+}
+
 /// Returns the cost of what follows the first byte, in seconds of wait.
 ///
 /// Reading the prompt holds up each of the running requests, and an engine that
--- a/crates/dogwoodshunt_steward/src/settings.rs
+++ b/crates/dogwoodshunt_steward/src/settings.rs
@@ -51,11 +51,15 @@
 /// Loads a second without a granter; the engine's transit limit binds first.
 const LOADS_PER_SECOND: f64 = 1_000.0;
 
+/// Loads at once without a granter: as many as an engine takes.
+const LOAD_BURST: f64 = 4.0;
+
 impl StewardSettings {
     /// Returns the limits and weights of the decisions.
     pub fn residency(&self) -> Settings {
         Settings::builder()
             .load_share(LOADS_PER_SECOND)
+            .load_burst(LOAD_BURST)
             .granter_timeout(Duration::ZERO)
             .popularity_half_life(POPULARITY_HALF_LIFE)
             .read_ahead(Duration::from_millis(self.read_ahead_ms))
