Serve counters and latency histograms as text

Entries count requests, streams, sends, retries and store calls, and keep histograms of the wait for an engine, the first event and the longest pause; agents count admissions and orders. prometheus-client writes them; cadence sends only, and the users ask for served figures first.

--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -11,6 +11,10 @@
 
 use crate::control::Event;
 use crate::control::status::Status;
+use crate::metrics;
+use crate::metrics::Metrics;
+use crate::metrics::RouteOutcome;
+use crate::metrics::ServiceOutcome;
 use crate::ports::Upstreams;
 use async_channel::Sender;
 use bytes::Bytes;
@@ -43,12 +47,24 @@
 const MOST_UNREACHED: u32 = 3;
 
 /// Sends of one request so far.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Sends {
     /// Those that may have reached an upstream.
     sent: u32,
     /// Those of which nothing arrived.
     unreached: u32,
+    /// Why it is not known whether one of them ran, if it is not.
+    unknown: Option<Box<str>>,
+}
+
+impl Sends {
+    /// Returns the refusal of a request, unless one of its sends may have run.
+    fn refuse(&self, not_run: NotRun, useful: Duration) -> Answer {
+        match &self.unknown {
+            Some(why) => Answer::Lost(why.clone()),
+            None => refusal(not_run, useful),
+        }
+    }
 }
 
 /// What a caller asks a model for.
@@ -148,6 +164,8 @@
     pub traffic: Traffic,
     /// Names wishes to run a model request.
     pub tickets: Arc<AtomicU64>,
+    /// What is counted.
+    pub metrics: Metrics,
     /// Where requests are logged.
     pub log: Logger,
 }
@@ -194,7 +212,14 @@
         };
         let route = route.map_or("", |route| &route.name);
         let upstream = told.upstream.as_deref().unwrap_or("");
-        let took = call.arrived.elapsed().as_millis() as u64;
+        let took = call.arrived.elapsed();
+        let labels = RouteOutcome {
+            route: route.into(),
+            outcome,
+        };
+        self.metrics.requests.get_or_create(&labels).inc();
+        metrics::observe(&self.metrics.answer_seconds, route, took.as_secs_f64());
+        let took = took.as_millis() as u64;
         info!(self.log, "request"; "id" => %call.id, "route" => route, "outcome" => outcome,
             "detail" => detail, "upstream" => upstream, "sent" => told.sent, "took_ms" => took);
         told.answer
@@ -214,13 +239,30 @@
         sends.sent < task.route.attempts && self.may_retry(&task.service).await
     }
 
+    /// Counts what a send to an upstream came to.
+    fn count_send(&self, service: &ServiceName, outcome: &'static str) {
+        let labels = ServiceOutcome {
+            service: service.to_string(),
+            outcome,
+        };
+        self.metrics.sends.get_or_create(&labels).inc();
+    }
+
     /// Asks whether a service may get one more retry.
     async fn may_retry(&self, service: &ServiceName) -> bool {
         let (reply, answer) = async_channel::bounded(1);
         let service = service.clone();
         // The control state is gone only while the process ends.
+        let labels = |outcome| ServiceOutcome {
+            service: service.to_string(),
+            outcome,
+        };
+        let (allowed, refused) = (labels("allowed"), labels("refused"));
         let _ = self.events.send(Event::Retry { service, reply }).await;
-        answer.recv().await.unwrap_or(false)
+        let may = answer.recv().await.unwrap_or(false);
+        let labels = if may { allowed } else { refused };
+        self.metrics.retries.get_or_create(&labels).inc();
+        may
     }
 }
 
--- a/crates/dogwoodshunt_gateway/src/call/plain.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain.rs
@@ -52,6 +52,19 @@
     Answered(Box<Exchange>, Bytes),
 }
 
+impl Attempt {
+    /// Returns the name used in metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Unreached(_) => "unreached",
+            Self::NotRun => "not-run-full",
+            Self::Unknown(_) => "lost",
+            Self::Silent => "late",
+            Self::Answered(..) => "runs",
+        }
+    }
+}
+
 impl<U: Upstreams> Calls<U> {
     pub(super) async fn run_plain(&self, task: &Task) -> Told {
         let mut excluded: Vec<UpstreamName> = Vec::new();
@@ -160,6 +173,7 @@
             Attempt::Silent
         };
         let attempt = answer.or(late).await;
+        self.count_send(&task.service, attempt.as_str());
         guard.end = match &attempt {
             Attempt::Unreached(why) => {
                 warn!(self.log, "upstream not reached"; "id" => %task.call.id,
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -4,12 +4,14 @@
 //! that: whole events only are passed on, and the next run continues after the
 //! last of them, under the head of the first.
 
-use crate::call::Call;
 use crate::call::Calls;
 use crate::call::Sends;
 use crate::call::Task;
 use crate::call::events::Events;
 use crate::call::guard::RunGuard;
+use crate::metrics;
+use crate::metrics::Metrics;
+use crate::metrics::RouteOutcome;
 use crate::ports::Upstreams;
 use bytes::Bytes;
 use dogwoodshunt_border::http::AnswerBody;
@@ -51,22 +53,26 @@
     longest_pause: Duration,
     resumed: u32,
     outcome: &'static str,
+    route: Box<str>,
+    metrics: Metrics,
     log: Logger,
 }
 
 impl Story {
-    /// Begins the account of `call`, granted at `now`.
-    pub(super) fn new(now: Instant, call: &Call, log: Logger) -> Self {
+    /// Begins the account of a request that was granted at `now`.
+    pub(super) fn new<U>(now: Instant, task: &Task, calls: &Calls<U>) -> Self {
         Self {
-            id: call.id.clone(),
-            arrived: call.arrived,
-            granted: now.saturating_duration_since(call.arrived),
+            id: task.call.id.clone(),
+            arrived: task.call.arrived,
+            granted: now.saturating_duration_since(task.call.arrived),
             first: None,
             last: now,
             longest_pause: Duration::ZERO,
             resumed: 0,
             outcome: "caller-left",
-            log,
+            route: task.route.name.clone(),
+            metrics: calls.metrics.clone(),
+            log: calls.log.clone(),
         }
     }
 
@@ -81,8 +87,28 @@
     }
 }
 
+impl Story {
+    fn count(&self) {
+        let Metrics {
+            first_event_seconds: firsts,
+            pause_seconds: pauses,
+            ..
+        } = &self.metrics;
+        if let Some(first) = self.first {
+            metrics::observe(firsts, &self.route, first.as_secs_f64());
+        }
+        metrics::observe(pauses, &self.route, self.longest_pause.as_secs_f64());
+        let labels = RouteOutcome {
+            route: self.route.to_string(),
+            outcome: self.outcome,
+        };
+        self.metrics.streams.get_or_create(&labels).inc();
+    }
+}
+
 impl Drop for Story {
     fn drop(&mut self) {
+        self.count();
         let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
         let took = self.last.saturating_duration_since(self.arrived);
         info!(self.log, "stream ended"; "id" => %self.id, "outcome" => self.outcome,
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -35,6 +35,12 @@
     _connector: smol::Task<()>,
 }
 
+impl AgentState {
+    pub(super) fn is_connected(&self) -> bool {
+        self.tx.is_some()
+    }
+}
+
 impl<D: Decoder> Control<D> {
     /// Connects to the agents of a service's engines, and notes which leave.
     pub(super) fn apply_engines<'a>(
--- a/crates/dogwoodshunt_gateway/src/control/catalogue.rs
+++ b/crates/dogwoodshunt_gateway/src/control/catalogue.rs
@@ -91,6 +91,8 @@
             &format_args!("{} after {held}", config.revision),
         );
         if rises {
+            let revision = i64::try_from(config.revision).unwrap_or(i64::MAX);
+            self.around.metrics.config_revision.set(revision);
             self.around.status.set_routes(RouteTable::new(config));
             self.tell_terms_to_all();
         }
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -20,6 +20,8 @@
 use crate::control::placing::Waiting;
 use crate::control::plain::Budgets;
 use crate::control::status::Status;
+use crate::metrics::Metrics;
+use crate::metrics::StoreOutcome;
 use crate::ports::Decoder;
 use crate::watch::Topic;
 use async_channel::Receiver;
@@ -163,6 +165,8 @@
     pub events: Sender<Event>,
     /// What traffic threads read of this state.
     pub status: Arc<Status>,
+    /// What is counted.
+    pub metrics: Metrics,
     /// What this process shows agents.
     pub credentials: Arc<Credentials>,
     /// Where changes are logged.
@@ -290,11 +294,13 @@
             } => self.budgets.set_limits(retry_ratio, retry_slack),
             Event::Stop => self.stopping = true,
             Event::StoreAnswered(topic) => {
+                self.count_store_call(topic, "answered");
                 if topic == Topic::Upstreams {
                     self.registry.on_store_answer(now);
                 }
             }
             Event::StoreLost(topic) => {
+                self.count_store_call(topic, "lost");
                 if topic == Topic::Upstreams {
                     self.registry.on_store_lost();
                 }
@@ -311,9 +317,18 @@
             self.beat_due = now + self.limits.heartbeat;
             self.beat_all(now);
             self.router.prune(now);
+            let connected = self.agents.values().filter(|agent| agent.is_connected());
+            let connected = i64::try_from(connected.count()).unwrap_or(i64::MAX);
+            self.around.metrics.agents.set(connected);
         }
     }
 
+    fn count_store_call(&self, topic: Topic, outcome: &'static str) {
+        let topic = topic.as_str();
+        let labels = StoreOutcome { topic, outcome };
+        self.around.metrics.store_calls.get_or_create(&labels).inc();
+    }
+
     fn connect(&self, agent: AgentKey, address: SocketAddr) -> smol::Task<()> {
         let connector = Connector {
             agent,
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::control::Limits;
 use crate::control::Surroundings;
 use crate::control::status::Status;
+use crate::metrics::Metrics;
 use crate::ports::Decoder;
 use crate::ports::Upstreams;
 use crate::settings::GatewaySettings;
@@ -20,6 +21,8 @@
 use dogwoodshunt_routing::Router;
 use dogwoodshunt_runtime::boot::draw_boot_id;
 use dogwoodshunt_runtime::link::Credentials;
+use dogwoodshunt_runtime::metrics;
+use dogwoodshunt_runtime::metrics::Exposition;
 use dogwoodshunt_runtime::program::Surroundings as Program;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::handshake::SharedKey;
@@ -85,9 +88,12 @@
     pub callers: SocketAddr,
     /// Address on which the platform asks whether this entry is ready.
     pub ready: SocketAddr,
+    /// Address on which metrics are served.
+    pub metrics: SocketAddr,
     settings: GatewaySettings,
     callers_listener: TcpListener,
     ready_listener: TcpListener,
+    metrics_listener: TcpListener,
     program: Program,
 }
 
@@ -100,12 +106,15 @@
     pub async fn bind(settings: GatewaySettings, program: Program) -> Result<Self, StartError> {
         let (callers_listener, callers) = listen(settings.listen_callers).await?;
         let (ready_listener, ready) = listen(settings.listen_ready).await?;
+        let (metrics_listener, metrics) = listen(settings.listen_metrics).await?;
         Ok(Self {
             callers,
             ready,
+            metrics,
             settings,
             callers_listener,
             ready_listener,
+            metrics_listener,
             program,
         })
     }
@@ -135,6 +144,9 @@
         };
         info!(log, "started"; "callers" => %self.callers, "ready" => %self.ready,
             "boot" => format!("{:016x}", me.boot));
+        let mut registry = metrics::registry();
+        let counted = Metrics::new(&mut registry);
+        let exposition = Arc::new(Exposition::new(registry, log.clone()));
         let (events, received) = async_channel::unbounded();
         let status = Arc::new(Status::default());
         for (topic, prefix, wait, pause) in [
@@ -181,6 +193,7 @@
             status: status.clone(),
             traffic: traffic.clone(),
             tickets: Arc::default(),
+            metrics: counted.clone(),
             log: log.clone(),
         };
         let (refuse_new, no_more) = async_channel::bounded::<()>(1);
@@ -190,6 +203,13 @@
         let serve_ready =
             server::serve(self.ready_listener, traffic.clone(), no_more.clone(), ready);
         traffic.spawn(serve_ready).detach();
+        let serve_metrics = server::serve(
+            self.metrics_listener,
+            traffic.clone(),
+            no_more.clone(),
+            exposition,
+        );
+        traffic.spawn(serve_metrics).detach();
         let (answered, all_answered) = async_channel::bounded::<()>(1);
         let handler = Arc::new(serve(calls));
         let serve_callers = server::serve(
@@ -215,6 +235,7 @@
             traffic: traffic.clone(),
             events: events.clone(),
             status: status.clone(),
+            metrics: counted,
             credentials: Arc::new(Credentials {
                 me,
                 key: SharedKey::new(&settings.shared_key),
--- a/crates/dogwoodshunt_gateway/src/lib.rs
+++ b/crates/dogwoodshunt_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod connector;
 pub mod control;
 pub mod gateway;
+pub mod metrics;
 pub mod ports;
 pub mod settings;
 pub mod watch;
--- a/crates/dogwoodshunt_gateway/src/ports.rs
+++ b/crates/dogwoodshunt_gateway/src/ports.rs
@@ -71,6 +71,18 @@
     Foreign,
 }
 
+impl Said {
+    /// Returns the name used in metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Runs => "runs",
+            Self::NotRunFull => "not-run-full",
+            Self::NotRunHere => "not-run-here",
+            Self::Foreign => "foreign",
+        }
+    }
+}
+
 /// The head of an upstream's answer.
 pub struct Reply {
     /// What the upstream says of the call.
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub listen_callers: SocketAddr,
     /// Address on which the platform asks whether this entry is ready.
     pub listen_ready: SocketAddr,
+    /// Address on which metrics are served.
+    pub listen_metrics: SocketAddr,
     /// Address of the key-value service.
     pub key_value_service: SocketAddr,
     /// Port on which the agents beside engines listen.
--- a/crates/dogwoodshunt_gateway/src/watch.rs
+++ b/crates/dogwoodshunt_gateway/src/watch.rs
@@ -36,6 +36,16 @@
     Upstreams,
 }
 
+impl Topic {
+    /// Returns the name used in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Upstreams => "upstreams",
+        }
+    }
+}
+
 /// Follows one prefix of the platform's store.
 pub struct Follower<K> {
     /// The store.
@@ -104,8 +114,8 @@
             Err(error) => {
                 if *failures == 0 {
                     warn!(self.log, "store lost"; "topic" => ?self.topic, "error" => %error);
-                    let _ = self.events.send(Event::StoreLost(self.topic)).await;
                 }
+                let _ = self.events.send(Event::StoreLost(self.topic)).await;
                 let pause = PAUSE_MOST.min(PAUSE_FIRST * (1 << (*failures).min(8)));
                 *failures += 1;
                 let spread = rand::rng().random_range(0.5..1.0);
--- a/crates/dogwoodshunt_runtime/src/lib.rs
+++ b/crates/dogwoodshunt_runtime/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod boot;
 pub mod link;
+pub mod metrics;
 pub mod ownership;
 pub mod program;
 pub mod reload;
--- /dev/null
+++ b/crates/dogwoodshunt_runtime/src/metrics.rs
@@ -0,0 +1,62 @@
+//! Counters and histograms, served as text.
+
+use dogwoodshunt_border::http::AnswerBody;
+use dogwoodshunt_border::http::server;
+use dogwoodshunt_border::http::server::Handler;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use slog::Logger;
+use slog::error;
+
+/// Path under which metrics are served.
+pub const PATH: &str = "/metrics";
+
+/// Prefix of the names of all metrics.
+pub const PREFIX: &str = "dogwoodshunt";
+
+/// Upper bounds of the buckets of a latency, in seconds: from a round trip
+/// between hosts to the longest deadline of a route.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0,
+];
+
+/// Returns an empty histogram of a latency.
+pub fn latency() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS)
+}
+
+/// Returns an empty registry whose metrics bear the product's prefix.
+pub fn registry() -> Registry {
+    Registry::with_prefix(PREFIX)
+}
+
+/// Answers with the text of a registry.
+pub struct Exposition {
+    registry: Registry,
+    log: Logger,
+}
+
+impl Exposition {
+    /// Creates a handler that serves `registry`.
+    pub fn new(registry: Registry, log: Logger) -> Self {
+        Self { registry, log }
+    }
+}
+
+impl Handler for Exposition {
+    async fn handle(&self, req: Request<Incoming>) -> Response<AnswerBody> {
+        if req.uri().path() != PATH {
+            return server::text(404, "metrics are at /metrics");
+        }
+        let mut written = String::new();
+        if let Err(error) = text::encode(&mut written, &self.registry) {
+            error!(self.log, "metrics not written"; "error" => %error);
+            return server::text(500, "metrics cannot be written");
+        }
+        server::text(200, written)
+    }
+}
--- a/crates/dogwoodshunt_steward/src/control/engine.rs
+++ b/crates/dogwoodshunt_steward/src/control/engine.rs
@@ -232,6 +232,7 @@
     }
 
     pub(super) fn on_ordered(&mut self, now: Instant, order: &Order, answer: &OrderAnswer) {
+        self.around.metrics.count_order(answer.as_str());
         if *answer == OrderAnswer::Fenced {
             self.engine.epoch = None;
             self.residency.set_owned(false);
@@ -261,12 +262,22 @@
         }
     }
 
-    /// Logs what the engine does, as this process and as the engine see it.
+    /// Logs and counts what the engine does, as this process and as the engine see it.
     pub(super) fn log_load(&self) {
         let upstream = self.engine.key.and_then(|key| self.residency.upstream(key));
         let (Some(upstream), Some(report)) = (upstream, &self.engine.report) else {
             return;
         };
+        let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        let metrics = &self.around.metrics;
+        metrics.running.set(gauge(upstream.running as u64));
+        metrics
+            .queued
+            .set(gauge(self.residency.queued_len() as u64));
+        metrics.unread_tokens.set(gauge(upstream.tokens.unread));
+        metrics
+            .residents
+            .set(gauge(upstream.residents.len() as u64));
         info!(self.around.log, "load"; "granted" => upstream.running,
             "queued" => self.residency.queued_len(), "unread" => upstream.tokens.unread,
             "held" => upstream.tokens.held,
--- a/crates/dogwoodshunt_steward/src/control/mod.rs
+++ b/crates/dogwoodshunt_steward/src/control/mod.rs
@@ -15,6 +15,7 @@
 use crate::engine::Order;
 use crate::engine::OrderAnswer;
 use crate::engine::OrderCall;
+use crate::metrics::Metrics;
 use crate::settings::StewardSettings;
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -105,6 +106,8 @@
     pub doubts: Sender<()>,
     /// Whether something is expected of the engine soon.
     pub expecting: Arc<AtomicBool>,
+    /// What is counted.
+    pub metrics: Metrics,
     /// Where changes are logged.
     pub log: Logger,
 }
@@ -206,7 +209,7 @@
                 Action::Dispatch { job, .. } => self.grant(now, job),
                 Action::Load { adapter, .. } => self.order(now, Order::LoadAdapter(adapter)),
                 Action::LoadBase { .. } => self.order_base(now),
-                Action::NotRun { job, refused } => self.decline(now, job, &refused),
+                Action::NotRun { job, refused } => self.decline(job, &refused),
                 // Reports come by themselves, at once while something is expected.
                 Action::Probe { .. } => {}
                 Action::Unload { adapter, .. } => self.order(now, Order::UnloadAdapter(adapter)),
--- a/crates/dogwoodshunt_steward/src/control/runs.rs
+++ b/crates/dogwoodshunt_steward/src/control/runs.rs
@@ -67,6 +67,9 @@
             Err(not_run) => {
                 info!(self.around.log, "declined"; "request" => %request,
                     "reason" => %not_run.reason, "started" => admit.started);
+                self.around
+                    .metrics
+                    .count_admission(not_run.reason.to_string());
                 self.send(link, Frame::NotRun { request, not_run });
             }
         }
@@ -83,9 +86,14 @@
         let Some(AnyJob::Running(held)) = self.residency.job(job) else {
             return;
         };
+        let waited = now.saturating_duration_since(held.arrived);
+        self.around.metrics.count_admission("granted");
+        self.around
+            .metrics
+            .queue_seconds
+            .observe(waited.as_secs_f64());
         debug!(self.around.log, "granted"; "request" => %request, "target" => %held.target,
-            "unread" => held.unread(),
-            "waited_ms" => now.saturating_duration_since(held.arrived).as_millis() as u64);
+            "unread" => held.unread(), "waited_ms" => waited.as_millis() as u64);
         let frame = Frame::Admitted {
             request,
             upstream: identity.name.clone(),
@@ -95,14 +103,17 @@
         self.send(link, frame);
     }
 
-    pub(super) fn decline(&mut self, now: Instant, job: JobKey, refused: &Refused) {
+    pub(super) fn decline(&mut self, job: JobKey, refused: &Refused) {
         self.by_job.remove(&job);
         let Some(run) = self.runs.remove(&refused.request) else {
             return;
         };
         let (request, not_run) = (refused.request, refused.not_run);
         info!(self.around.log, "declined"; "request" => %request, "reason" => %not_run.reason,
-            "queued" => self.residency.queued_len(), "at" => ?now);
+            "queued" => self.residency.queued_len());
+        self.around
+            .metrics
+            .count_admission(not_run.reason.to_string());
         self.send(run.link, Frame::NotRun { request, not_run });
     }
 
--- a/crates/dogwoodshunt_steward/src/engine.rs
+++ b/crates/dogwoodshunt_steward/src/engine.rs
@@ -87,6 +87,20 @@
     Lost(Box<str>),
 }
 
+impl OrderAnswer {
+    /// Returns the name used in metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Done => "done",
+            Self::Conflict => "conflict",
+            Self::Fenced => "fenced",
+            Self::Refused(_) => "refused",
+            Self::Lost(_) => "lost",
+        }
+    }
+}
+
 /// Why an engine's report could not be read.
 #[derive(Debug, Snafu)]
 #[snafu(display("read report of {peer}: {message}"))]
--- a/crates/dogwoodshunt_steward/src/lib.rs
+++ b/crates/dogwoodshunt_steward/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod control;
 pub mod engine;
+pub mod metrics;
 pub mod settings;
 pub mod steward;
 pub mod worker;
--- a/crates/dogwoodshunt_steward/src/settings.rs
+++ b/crates/dogwoodshunt_steward/src/settings.rs
@@ -20,6 +20,8 @@
     pub node: NodeSettings,
     /// Address on which entries connect.
     pub listen: SocketAddr,
+    /// Address on which metrics are served.
+    pub listen_metrics: SocketAddr,
     /// Address of the engine.
     pub engine: SocketAddr,
     /// Address of the key-value service.
--- a/crates/dogwoodshunt_steward/src/steward.rs
+++ b/crates/dogwoodshunt_steward/src/steward.rs
@@ -4,14 +4,18 @@
 use crate::control::Event;
 use crate::control::Surroundings;
 use crate::engine::Engine;
+use crate::metrics::Metrics;
 use crate::settings::StewardSettings;
 use crate::worker::EngineWorker;
 
 use async_channel::Sender;
+use dogwoodshunt_border::http::server;
 use dogwoodshunt_border::kv::Kv;
 use dogwoodshunt_runtime::boot::draw_boot_id;
 use dogwoodshunt_runtime::link;
 use dogwoodshunt_runtime::link::Credentials;
+use dogwoodshunt_runtime::metrics;
+use dogwoodshunt_runtime::metrics::Exposition;
 use dogwoodshunt_runtime::ownership::OwnershipWorker;
 use dogwoodshunt_runtime::program::Surroundings as Program;
 use dogwoodshunt_wire::frame::Identity;
@@ -51,9 +55,12 @@
 pub struct Steward {
     /// Address on which entries connect.
     pub address: SocketAddr,
+    /// Address on which metrics are served.
+    pub metrics: SocketAddr,
     settings: StewardSettings,
     me: Identity,
     listener: TcpListener,
+    metrics_listener: TcpListener,
     program: Program,
 }
 
@@ -64,10 +71,8 @@
     ///
     /// Fails if the address cannot be listened on.
     pub async fn bind(settings: StewardSettings, program: Program) -> Result<Self, StartError> {
-        let address = settings.listen;
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.context(ListenSnafu { address })?;
-        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let (listener, address) = listen(settings.listen).await?;
+        let (metrics_listener, metrics) = listen(settings.listen_metrics).await?;
         let me = Identity {
             node: settings.node.name.clone(),
             boot: draw_boot_id(),
@@ -75,9 +80,11 @@
         };
         Ok(Self {
             address,
+            metrics,
             settings,
             me,
             listener,
+            metrics_listener,
             program,
         })
     }
@@ -87,6 +94,12 @@
         let (traffic, log) = (self.program.traffic.clone(), self.program.log.clone());
         info!(log, "started"; "listen" => %self.address, "engine" => %self.settings.engine,
             "boot" => format!("{:016x}", self.me.boot));
+        let mut registry = metrics::registry();
+        let counted = Metrics::new(&mut registry);
+        let exposition = Arc::new(Exposition::new(registry, log.clone()));
+        let (serving, no_more) = async_channel::bounded::<()>(1);
+        let serve = server::serve(self.metrics_listener, traffic.clone(), no_more, exposition);
+        traffic.spawn(serve).detach();
         let (events, received) = async_channel::bounded(EVENT_QUEUE);
         let (doubts, doubted) = async_channel::bounded(1);
         let owner = OwnershipWorker {
@@ -106,6 +119,7 @@
             orders,
             doubts,
             expecting: Arc::default(),
+            metrics: counted,
             log: log.clone(),
         };
         let worker = EngineWorker {
@@ -130,9 +144,17 @@
         let accepting = traffic.spawn(accept);
         control.run(received).await;
         accepting.cancel().await;
+        drop(serving);
     }
 }
 
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.context(ListenSnafu { address })?;
+    let address = listener.local_addr().context(ListenSnafu { address })?;
+    Ok((listener, address))
+}
+
 async fn accept_all(
     listener: TcpListener,
     credentials: Arc<Credentials>,
