--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -125,6 +125,7 @@
         state.heard = now;
         state.leaving = false;
         self.router.set_node(agent, identity.node);
+        self.router.set_domain(agent, identity.domain);
         self.tell_terms(agent);
         self.readmit(now, agent);
     }
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -67,6 +67,8 @@
     /// Cost of each further home, in milliseconds: more than the estimates of
     /// two entries differ by, little against the reading of a long prompt.
     pub home_step_ms: u64,
+    /// Cost of an engine in another failure domain, in milliseconds.
+    pub domain_step_ms: u64,
     /// Cost of a load besides its wait, a second of load.
     pub load_weight: f64,
     /// Cost of holding up one running request for a second.
@@ -80,6 +82,7 @@
         Self {
             homes: 6,
             home_step_ms: 30,
+            domain_step_ms: 0,
             load_weight: 0.5,
             interference_weight: 0.0,
             output_weight: 0.0,
@@ -114,6 +117,8 @@
             .batch_weight(0.0)
             .home_step(Duration::from_millis(placing.home_step_ms))
             .host_copies(HOST_COPIES)
+            .domain(self.node.failure_domain.clone())
+            .domain_step(Duration::from_millis(placing.domain_step_ms))
             .interference_weight(placing.interference_weight)
             .output_weight(placing.output_weight)
             .load_weight(placing.load_weight)
@@ -155,6 +160,7 @@
     fn check(&self) -> Result<(), Misfit> {
         check_range("placing.homes", self.homes as u64, 1, 64)?;
         check_range("placing.home_step_ms", self.home_step_ms, 0, 10_000)?;
+        check_range("placing.domain_step_ms", self.domain_step_ms, 0, 10_000)?;
         for (field, weight) in [
             ("placing.load_weight", self.load_weight),
             ("placing.interference_weight", self.interference_weight),
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -8,6 +8,7 @@
 use dogwoodshunt_residency::report::Serves;
 use dogwoodshunt_residency::report::UpstreamReport;
 use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NodeId;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -41,6 +42,8 @@
 pub struct Agent {
     /// Name of the agent; its address until it has connected.
     pub node: NodeId,
+    /// Failure domain that it stands in; empty until it has connected.
+    pub domain: FailureDomain,
     /// Whether it is connected and trusts its catalogue.
     pub usable: bool,
     /// Whether it takes no new work, by any source.
@@ -58,6 +61,7 @@
     pub fn new(node: NodeId) -> Self {
         Self {
             node,
+            domain: FailureDomain::default(),
             usable: false,
             leaving: false,
             report: None,
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -11,6 +11,10 @@
 use dogwoodshunt_residency::report::UpstreamReport;
 use std::time::Instant;
 
+/// Length of a prompt, in tokens, at which attention takes as long again as
+/// the rest of reading it.
+const LONG_PROMPT_TOKENS: f64 = 10_000.0;
+
 /// Load of the upstreams of an agent that can serve a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
@@ -132,7 +136,10 @@
     let engine = upstream.engine?;
     let rate = (engine.tokens_per_second as f64).max(1.0);
     let reading = agent.fresh_tokens(target, demand) as f64 / rate;
-    let held_up = reading * f64::from(upstream.running);
+    // Attention over a long prompt grows with its square, so it is its last
+    // pieces that stretch the pauses of other answers.
+    let length = f64::from(demand.prompt_tokens) / LONG_PROMPT_TOKENS;
+    let held_up = reading * (1.0 + length * length) * f64::from(upstream.running);
     let slowed = f64::from(engine.reading_percent) / 100.0 * settings.reading_step.as_secs_f64();
     let output = f64::from(demand.output_tokens) * slowed;
     Some(settings.interference_weight * held_up + settings.output_weight * output)
@@ -159,7 +166,12 @@
             Some(Nearness::Coming | Nearness::Copied | Nearness::Ready) | None => 0.0,
         };
         let after = after_first_byte(now, agent, target, demand, settings);
-        return Some(first_byte + load + after.unwrap_or(0.0));
+        let away = if agent.domain == settings.domain {
+            0.0
+        } else {
+            settings.domain_step.as_secs_f64()
+        };
+        return Some(first_byte + load + after.unwrap_or(0.0) + away);
     }
     let load = Load::of(now, agent, target, settings)?;
     let stalled = target.adapter().map_or(0.0, |adapter| {
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -16,6 +16,7 @@
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::popularity::Popularity;
 use dogwoodshunt_residency::report::ReportUpdate;
+use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
@@ -109,6 +110,13 @@
         }
     }
 
+    /// Records the failure domain that an agent stands in.
+    pub fn set_domain(&mut self, key: AgentKey, domain: FailureDomain) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.domain = domain;
+        }
+    }
+
     /// Records whether the agent is connected and trusts its catalogue.
     pub fn set_usable(&mut self, key: AgentKey, usable: bool) {
         if let Some(agent) = self.agents.get_mut(key) {
--- a/crates/dogwoodshunt_routing/src/settings.rs
+++ b/crates/dogwoodshunt_routing/src/settings.rs
@@ -1,6 +1,7 @@
 //! Weights and limits of an entry's decisions.
 
 use bon::Builder;
+use dogwoodshunt_types::FailureDomain;
 use std::time::Duration;
 
 /// How an agent is chosen.
@@ -40,6 +41,12 @@
     /// each running request gets one token a step.
     #[builder(default = Duration::from_millis(60))]
     pub reading_step: Duration,
+    /// Failure domain of this entry.
+    #[builder(default)]
+    pub domain: FailureDomain,
+    /// Cost of another failure domain than this entry's.
+    #[builder(default = Duration::ZERO)]
+    pub domain_step: Duration,
     /// Cost of each further home where the adapter is absent: entries that do
     /// not know of each other's requests meet at the first one.
     #[builder(default = Duration::from_millis(250))]
--- a/crates/dogwoodshunt_steward/src/control/mod.rs
+++ b/crates/dogwoodshunt_steward/src/control/mod.rs
@@ -227,6 +227,12 @@
         }
     }
 
+    /// Returns the connection that was opened last.
+    #[cfg(test)]
+    pub(crate) fn newest_link(&self) -> Option<LinkKey> {
+        self.links.keys().last()
+    }
+
     fn on_stop(&mut self, now: Instant) {
         info!(self.around.log, "stopping"; "runs" => self.runs.len());
         self.stopping = Some(now + FAREWELL);
