--- a/crates/dogwoodshunt_ctl/src/cli.rs
+++ b/crates/dogwoodshunt_ctl/src/cli.rs
@@ -32,6 +32,11 @@
 pub enum Command {
     /// Shows who changed what and when, oldest first.
     Audit(AuditArgs),
+    /// Gathers the story of one request from the logs of several processes.
+    ///
+    /// Prints each line that tells of the request, oldest first. Exits with 2
+    /// if a log cannot be read, and with 3 if no line tells of it.
+    Explain(ExplainArgs),
     /// Checks, submits and follows release notes.
     #[command(subcommand)]
     Release(Release),
@@ -102,6 +107,16 @@
     },
 }
 
+/// Arguments of the story of a request.
+#[derive(Args, Debug)]
+pub struct ExplainArgs {
+    /// Id that the caller gave the request, or that of an attempt.
+    pub id: Box<str>,
+    /// Logs of entries and agents, in any order.
+    #[arg(required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Arguments of commands that list the log.
 #[derive(Args, Debug)]
 pub struct AuditArgs {
--- a/crates/dogwoodshunt_ctl/src/run.rs
+++ b/crates/dogwoodshunt_ctl/src/run.rs
@@ -3,11 +3,14 @@
 use crate::cli::AuditArgs;
 use crate::cli::Cli;
 use crate::cli::Command;
+use crate::cli::ExplainArgs;
 use crate::cli::Release;
 use crate::cli::Stop;
 use crate::cli::StopArgs;
 use crate::diff::diff;
 use crate::exit::Exit;
+use crate::explain;
+use crate::explain::Line;
 use crate::render;
 use dogwoodshunt_catalogue::LogEntry;
 use dogwoodshunt_catalogue::ReleaseNote;
@@ -87,6 +90,7 @@
     };
     let done = match &cli.command {
         Command::Audit(args) | Command::Release(Release::Log(args)) => command.audit(args).await,
+        Command::Explain(args) => explain(args),
         Command::Release(release) => command.release(release).await,
         Command::Status => command.status().await,
         Command::Stop(stop) => command.stop(stop).await,
@@ -94,6 +98,26 @@
     done.unwrap_or_else(|failed| failed)
 }
 
+/// Gathers the story of a request; no entry is asked.
+fn explain(args: &ExplainArgs) -> Done {
+    let mut lines = Vec::new();
+    for path in &args.logs {
+        let text = fs::read_to_string(path).map_err(|error| {
+            let message = format!("read log {}: {error}", path.display());
+            Report::failed(message, Exit::Problems)
+        })?;
+        lines.extend(text.lines().filter_map(Line::parse));
+    }
+    let read = lines.len();
+    let story = explain::story(lines, &args.id);
+    if story.is_empty() {
+        let message = format!("none of {read} lines tells of request {}", args.id);
+        return Err(Report::failed(message, Exit::Refused));
+    }
+    let lines = story.iter().map(|line| format!("{}\n", line.text()));
+    Ok(Report::new(lines.collect(), Exit::Done))
+}
+
 struct Runner<'a> {
     operator: &'a Operator,
     json: bool,
--- a/crates/dogwoodshunt_ctl/src/tests.rs
+++ b/crates/dogwoodshunt_ctl/src/tests.rs
@@ -2,6 +2,8 @@
 
 use crate::cli::Cli;
 use crate::diff::diff;
+use crate::explain;
+use crate::explain::Line;
 use crate::render;
 use clap::CommandFactory;
 use dogwoodshunt_catalogue::AdapterSpec;
@@ -76,3 +78,28 @@
     assert_eq!(steps.len(), 1);
     assert_eq!((&*steps[0].before, &*steps[0].after), ("1", "3"));
 }
+
+const LOGS: &str = r#"
+ts_ms=30 level=info event="stream ended" node=entry-1 id=c1 outcome=complete
+ts_ms=10 level=info event="placed" node=entry-1 id=c1 request=00a-256 waited_ms=4
+ts_ms=9 level=info event="granted" node=agent-3 request=00a-256 unread=100
+ts_ms=11 level=info event="granted" node=agent-3 request=00a-512 unread=0
+ts_ms=12 level=info event="request" node=entry-1 id=c1 outcome=answered
+ts_ms=13 level=info event="request" node=entry-1 id=c2 outcome="not-run" detail="id=c1"
+no line of ours
+"#;
+
+#[rstest]
+#[case("c1", &[9, 10, 12, 30])]
+#[case("00a-256", &[9, 10, 12, 30])]
+#[case("c2", &[13])]
+#[case("c3", &[])]
+fn story_of_a_request_is_gathered_in_order(#[case] id: &str, #[case] times: &[u64]) {
+    let lines = LOGS.lines().filter_map(Line::parse).collect();
+    let story = explain::story(lines, id);
+    let starts: Vec<String> = times.iter().map(|at| format!("ts_ms={at} ")).collect();
+    assert_eq!(story.len(), starts.len(), "{story:?}");
+    for (line, start) in story.iter().zip(starts) {
+        assert!(line.text().starts_with(&start), "{}", line.text());
+    }
+}
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -26,6 +26,7 @@
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::Version;
+use slog::info;
 use slog::warn;
 use smol::Timer;
 use smol::future::FutureExt;
@@ -121,6 +122,9 @@
                 upstream: None,
             })?;
             let waited = granted.saturating_duration_since(begun).as_secs_f64();
+            info!(self.log, "placed"; "id" => %task.call.id, "request" => %grant.request,
+                "upstream" => %grant.upstream, "target" => %grant.target,
+                "waited_ms" => (waited * 1e3) as u64, "sent" => sends.sent);
             metrics::observe(&self.metrics.grant_seconds, &task.route.name, waited);
             let missed = match self.send(task, &grant, &mut guard, resume_after).await {
                 Ok(exchange) => {
--- a/crates/dogwoodshunt_steward/src/control/runs.rs
+++ b/crates/dogwoodshunt_steward/src/control/runs.rs
@@ -15,7 +15,6 @@
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Admit;
-use slog::debug;
 use slog::info;
 use std::time::Duration;
 use std::time::Instant;
@@ -92,7 +91,7 @@
             .metrics
             .queue_seconds
             .observe(waited.as_secs_f64());
-        debug!(self.around.log, "granted"; "request" => %request, "target" => %held.target,
+        info!(self.around.log, "granted"; "request" => %request, "target" => %held.target,
             "unread" => held.unread(), "waited_ms" => waited.as_millis() as u64);
         let frame = Frame::Admitted {
             request,
