--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -166,6 +166,8 @@
     pub tickets: Arc<AtomicU64>,
     /// What is counted.
     pub metrics: Metrics,
+    /// Objectives within which the first byte of a stream must be expected.
+    pub useful_objectives: f64,
     /// Where requests are logged.
     pub log: Logger,
 }
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -115,10 +115,11 @@
             let ticket = self.ticket();
             let begun = Instant::now();
             let mut guard = RunGuard::new(ticket, self.events.clone());
-            let placed = self.place(task, ticket).await;
+            let useful = self.useful_wait(task, sends);
+            let placed = self.place(task, ticket, useful).await;
             let granted = Instant::now();
             let grant = placed.map_err(|not_run| Failed {
-                answer: sends.refuse(not_run, useful_wait(task)),
+                answer: sends.refuse(not_run, self.useful_wait(task, sends)),
                 upstream: None,
             })?;
             let waited = granted.saturating_duration_since(begun).as_secs_f64();
@@ -179,13 +180,25 @@
         }
     }
 
+    /// Returns how long from now the first byte may still take and be of use.
+    ///
+    /// A stream that goes on elsewhere has cost an engine already, so it gets
+    /// all of its caller's patience.
+    fn useful_wait(&self, task: &Task, sends: &Sends) -> Duration {
+        let left = task.deadline.saturating_duration_since(Instant::now());
+        if sends.sent > 0 {
+            return admission::patience(&task.route, left);
+        }
+        admission::useful_wait(&task.route, left, self.useful_objectives)
+    }
+
     /// Asks for an engine, until the first byte is of no more use.
-    async fn place(&self, task: &Task, ticket: u64) -> Result<Grant, NotRun> {
+    async fn place(&self, task: &Task, ticket: u64, useful: Duration) -> Result<Grant, NotRun> {
         let stopping = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY);
         let Some(model) = &task.call.model else {
             return Err(stopping);
         };
-        let useful_until = Instant::now() + useful_wait(task);
+        let useful_until = Instant::now() + useful;
         let mut demand = model.demand.clone();
         demand.rank = task.route.rank;
         let ask = PlaceAsk {
@@ -262,12 +275,6 @@
     }
 }
 
-/// Returns how long from now the first byte may still take and be of use.
-fn useful_wait(task: &Task) -> Duration {
-    let left = task.deadline.saturating_duration_since(Instant::now());
-    admission::useful_wait(&task.route, left)
-}
-
 fn version_of(target: &Target) -> Option<Version> {
     target.adapter().map(|adapter| adapter.version.clone())
 }
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -194,6 +194,7 @@
             traffic: traffic.clone(),
             tickets: Arc::default(),
             metrics: counted.clone(),
+            useful_objectives: settings.placing.useful_objectives,
             log: log.clone(),
         };
         let (refuse_new, no_more) = async_channel::bounded::<()>(1);
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -65,7 +65,7 @@
     /// law with exponent 1.2 takes a fifth of all requests, so several engines.
     pub homes: usize,
     /// Cost of each further home, in milliseconds: more than the estimates of
-    /// two entries differ by, little against the reading of a long prompt.
+    /// two entries differ by, less than the reading of a long prompt takes.
     pub home_step_ms: u64,
     /// Cost of an engine in another failure domain, in milliseconds.
     pub domain_step_ms: u64,
@@ -75,17 +75,21 @@
     pub interference_weight: f64,
     /// Cost of a second from the first byte to the last.
     pub output_weight: f64,
+    /// Objectives within which the first byte of a stream must be expected, or
+    /// else the request is refused at once.
+    pub useful_objectives: f64,
 }
 
 impl Default for PlacingSettings {
     fn default() -> Self {
         Self {
             homes: 6,
-            home_step_ms: 30,
+            home_step_ms: 100,
             domain_step_ms: 0,
-            load_weight: 0.5,
-            interference_weight: 0.0,
-            output_weight: 0.0,
+            load_weight: 5.0,
+            interference_weight: 0.01,
+            output_weight: 0.03,
+            useful_objectives: 1.4,
         }
     }
 }
@@ -165,6 +169,7 @@
             ("placing.load_weight", self.load_weight),
             ("placing.interference_weight", self.interference_weight),
             ("placing.output_weight", self.output_weight),
+            ("placing.useful_objectives", self.useful_objectives),
         ] {
             if !(0.0..=100.0).contains(&weight) {
                 return Err(Misfit::new(field, "must lie between 0 and 100"));
--- a/crates/dogwoodshunt_serving/src/admission.rs
+++ b/crates/dogwoodshunt_serving/src/admission.rs
@@ -40,9 +40,18 @@
     }
 }
 
-/// Returns how long a request may wait for its first byte and still be useful.
-pub fn useful_wait(route: &Route, left: Duration) -> Duration {
-    patience(route, left).mul_f64(USEFUL_SHARE)
+/// Returns how long a request may wait for its first byte and still be worth
+/// its place: a few `objectives`, within its caller's patience.
+///
+/// A late answer takes as much of an engine as one on time and is worth less to
+/// its caller. Engines that are short of time so serve those that can still be
+/// on time, and refuse the others at once.
+pub fn useful_wait(route: &Route, left: Duration, objectives: f64) -> Duration {
+    let patience = patience(route, left).mul_f64(USEFUL_SHARE);
+    match route.kind {
+        RouteKind::Stream { .. } => patience.min(route.objective.mul_f64(objectives)),
+        RouteKind::Idempotent | RouteKind::AtMostOnce => patience,
+    }
 }
 
 /// Returns the pause that a refused caller is told: until the expected wait
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -217,6 +217,24 @@
     assert_eq!(patience, Duration::from_millis(expected));
 }
 
+#[test]
+fn late_answers_of_streams_are_not_waited_for() {
+    let mut route = route("s", "a.example", "/");
+    route.timeout = Duration::from_secs(60);
+    route.objective = Duration::from_millis(1_000);
+    let left = Duration::from_secs(10);
+    let call = admission::useful_wait(&route, left, 1.4);
+    assert_eq!(call, Duration::from_secs(8));
+    route.kind = RouteKind::Stream {
+        resumable: false,
+        longest_pause: Duration::from_millis(400),
+    };
+    let stream = admission::useful_wait(&route, left, 1.4);
+    assert_eq!(stream, Duration::from_millis(1_400));
+    let patient = admission::useful_wait(&route, left, 100.0);
+    assert_eq!(patient, Duration::from_millis(3_200));
+}
+
 #[test]
 fn refused_callers_come_back_apart_and_within_bounds() {
     let useful = Duration::from_secs(3);
