--- a/crates/dogwoodshunt_border/src/tests.rs
+++ b/crates/dogwoodshunt_border/src/tests.rs
@@ -1,1 +1,3 @@
 //! Tests of the border.
+
+mod exchange;
