Use engines whose agents are out of reach for what they hold

Ruled out: loading without the agent; two would order one engine.

Change: for 15 seconds an entry goes on by the agent's last report: only adapters that were ready there, eight requests at a time, the version pinned by the request so that the engine refuses another one.

--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -6,6 +6,7 @@
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_serving::registry::Listed;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Beat;
 use dogwoodshunt_wire::frame::Identity;
@@ -14,12 +15,17 @@
 use slog::info;
 use slog::warn;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 /// Heartbeats of an agent that may fail to come before its connection is
 /// closed; a connection that went silent shows by nothing else.
 const MISSED_BEATS: u32 = 3;
 
+/// Time for which an engine without its agent is used: longer than an agent
+/// takes to start again, or most cuts last.
+const UNATTENDED_LIMIT: Duration = Duration::from_secs(15);
+
 /// What this entry knows of an agent.
 pub(super) struct AgentState {
     address: SocketAddr,
@@ -31,6 +37,7 @@
     number: u64,
     echo: u64,
     leaving: bool,
+    lost: Option<Instant>,
     // Dropping the task ends the connection for good.
     _connector: smol::Task<()>,
 }
@@ -96,6 +103,7 @@
             number: 0,
             echo: 0,
             leaving: false,
+            lost: None,
             _connector: self.connect(agent, address),
         };
         self.agents.insert(agent, state);
@@ -124,6 +132,7 @@
         state.tx = Some(tx);
         state.heard = now;
         state.leaving = false;
+        state.lost = None;
         self.router.set_node(agent, identity.node);
         self.router.set_domain(agent, identity.domain);
         self.tell_terms(agent);
@@ -137,10 +146,27 @@
         if let Some(tx) = state.tx.take() {
             tx.close();
         }
+        state.leaving = false;
+        state.lost = Some(now);
         self.router.set_usable(agent, false);
+        self.router.set_unattended(agent, true);
+        self.apply_leaving();
         self.replace_waiting(now, agent);
     }
 
+    /// Gives up engines whose agents have been out of reach for long: what they
+    /// hold by now, nobody knows.
+    pub(super) fn give_up_unattended(&mut self, now: Instant) {
+        for (agent, state) in &mut self.agents {
+            let over =
+                |lost: &mut Instant| now.saturating_duration_since(*lost) >= UNATTENDED_LIMIT;
+            if state.lost.take_if(over).is_some() {
+                warn!(self.around.log, "engine given up"; "agent" => %state.address);
+                self.router.set_unattended(*agent, false);
+            }
+        }
+    }
+
     pub(super) fn on_frame(&mut self, now: Instant, agent: AgentKey, frame: Frame) {
         let Some(state) = self.agents.get_mut(&agent) else {
             return;
@@ -189,9 +215,12 @@
             state.leaving = beat.leaving;
         }
         self.budgets.on_entries(now, beat.entries);
-        if let Some(update) = beat.report {
+        // What a leaving agent reports is that it takes nothing; what its
+        // engine holds is as it was.
+        if let Some(update) = beat.report.filter(|_| !beat.leaving) {
             self.router.on_report(now, agent, update);
             self.router.set_usable(agent, true);
+            self.router.set_unattended(agent, false);
         }
         self.apply_leaving();
     }
@@ -201,10 +230,10 @@
         tx.is_some_and(|tx| tx.try_send(frame).is_ok())
     }
 
-    /// Returns the address of an agent's engine.
-    pub(super) fn engine_address(&self, agent: AgentKey) -> Option<SocketAddr> {
+    /// Returns the name and address of an agent's engine.
+    pub(super) fn engine_of(&self, agent: AgentKey) -> Option<(UpstreamName, SocketAddr)> {
         let upstream = self.agents.get(&agent)?.upstream.as_ref()?;
-        Some(upstream.address)
+        Some((upstream.name.clone(), upstream.address))
     }
 
     pub(super) fn beat_all(&mut self, now: Instant) {
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -317,6 +317,7 @@
             self.beat_due = now + self.limits.heartbeat;
             self.beat_all(now);
             self.router.prune(now);
+            self.give_up_unattended(now);
             let connected = self.agents.values().filter(|agent| agent.is_connected());
             let connected = i64::try_from(connected.count()).unwrap_or(i64::MAX);
             self.around.metrics.agents.set(connected);
--- a/crates/dogwoodshunt_gateway/src/control/placing.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placing.rs
@@ -17,6 +17,7 @@
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Admit;
+use slog::info;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -140,9 +141,22 @@
                 return;
             }
         };
+        let waiting = Waiting {
+            ask,
+            target,
+            agent,
+            attempt,
+            excluded,
+            reply,
+        };
+        if self.router.agent(agent).is_some_and(|a| a.unattended) {
+            self.grant_unattended(now, ticket, waiting);
+            return;
+        }
+        let ask = &waiting.ask;
         let admit = Admit {
             request: self.request_of(ticket, attempt),
-            target: target.clone(),
+            target: waiting.target.clone(),
             demand: ask.demand.clone(),
             due_in: ask.due.saturating_duration_since(now),
             time_left: ask.useful_until.saturating_duration_since(now),
@@ -150,14 +164,6 @@
         };
         // An agent that is lost meanwhile is reported, and the wish goes on.
         self.send(agent, Frame::Admit(Box::new(admit)));
-        let waiting = Waiting {
-            ask,
-            target,
-            agent,
-            attempt,
-            excluded,
-            reply,
-        };
         self.waiting.insert(ticket, waiting);
     }
 
@@ -168,6 +174,47 @@
         }
     }
 
+    /// Grants a run at an engine whose agent is out of reach.
+    ///
+    /// The engine itself refuses what it does not hold, in the version asked for.
+    fn grant_unattended(&mut self, now: Instant, ticket: Ticket, waiting: Waiting) {
+        let agent = waiting.agent;
+        let Some((upstream, address)) = self.engine_of(agent) else {
+            self.go_elsewhere(now, ticket, waiting);
+            return;
+        };
+        let request = self.request_of(ticket, waiting.attempt);
+        let target = waiting.target.clone();
+        info!(self.around.log, "granted unattended"; "request" => %request,
+            "upstream" => %upstream, "target" => %target);
+        self.start(
+            ticket,
+            waiting,
+            Grant {
+                upstream,
+                address,
+                target,
+                request,
+            },
+        );
+    }
+
+    fn start(&mut self, ticket: Ticket, waiting: Waiting, grant: Grant) {
+        let running = Running {
+            agent: waiting.agent,
+            target: waiting.target,
+            request: grant.request,
+            demand: waiting.ask.demand,
+            due: waiting.ask.due,
+            useful_until: waiting.ask.useful_until,
+        };
+        self.running.insert(ticket, running);
+        if waiting.reply.try_send(Ok(grant)).is_err() {
+            // The caller has left.
+            self.on_done(ticket, false);
+        }
+    }
+
     pub(super) fn on_admitted(
         &mut self,
         now: Instant,
@@ -186,29 +233,21 @@
         let Some(waiting) = self.waiting.remove(&ticket) else {
             return;
         };
-        let Some(address) = self.engine_address(agent) else {
+        let Some((_, address)) = self.engine_of(agent) else {
             self.send(agent, done(request, false));
             self.go_elsewhere(now, ticket, waiting);
             return;
         };
-        let grant = Grant {
-            upstream,
-            address,
-            target,
-            request,
-        };
-        let running = Running {
-            agent,
-            target: waiting.target,
-            request,
-            demand: waiting.ask.demand,
-            due: waiting.ask.due,
-            useful_until: waiting.ask.useful_until,
-        };
-        self.running.insert(ticket, running);
-        if waiting.reply.try_send(Ok(grant)).is_err() {
-            self.on_done(ticket, false);
-        }
+        self.start(
+            ticket,
+            waiting,
+            Grant {
+                upstream,
+                address,
+                target,
+                request,
+            },
+        );
     }
 
     pub(super) fn on_declined(
@@ -293,6 +332,11 @@
     pub(super) fn on_done(&mut self, ticket: Ticket, adapter_missing: bool) {
         if let Some(run) = self.running.remove(&ticket) {
             self.router.on_end(run.agent, &run.target);
+            if let Some(adapter) = run.target.adapter().filter(|_| adapter_missing) {
+                self.router.forget_adapter(run.agent, adapter);
+            }
+            // An agent that is out of reach learns of the runs that go on when
+            // it is back; this one does not.
             self.send(run.agent, done(run.request, adapter_missing));
         }
         if let Some(waiting) = self.waiting.remove(&ticket) {
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -19,6 +19,11 @@
 /// round trip between failure domains.
 const REPORT_LAG: Duration = Duration::from_millis(110);
 
+/// Requests that one entry has in flight at an engine without its agent: a
+/// fourth of a present engine's batch over four entries, since none of them
+/// sees the others' requests.
+const UNATTENDED_RUNS: u32 = 8;
+
 slotmap::new_key_type! {
     /// Names an agent that the entry knows.
     pub struct AgentKey;
@@ -48,6 +53,9 @@
     pub usable: bool,
     /// Whether it takes no new work, by any source.
     pub leaving: bool,
+    /// Whether it is out of reach while its engine is not: the engine runs what
+    /// it holds, and nobody loads anything else.
+    pub unattended: bool,
     report: Option<(Instant, Report)>,
     in_flight: u32,
     expected: HashMap<AdapterRef, u32>,
@@ -64,6 +72,7 @@
             domain: FailureDomain::default(),
             usable: false,
             leaving: false,
+            unattended: false,
             report: None,
             in_flight: 0,
             expected: HashMap::new(),
@@ -142,6 +151,9 @@
     /// Returns the load report if it is younger than `limit`.
     pub fn report(&self, now: Instant, limit: Duration) -> Option<&Report> {
         let (at, report) = self.report.as_ref()?;
+        if self.unattended {
+            return Some(report);
+        }
         (now.saturating_duration_since(*at) < limit).then_some(report)
     }
 
@@ -159,9 +171,28 @@
         able.any(|upstream| serves(upstream, target))
     }
 
+    /// Returns whether an engine without its agent may get a request for `target`.
+    ///
+    /// No one admits it there, so each entry sends a few at a time only.
+    pub fn runs_unattended(&self, target: &Target) -> bool {
+        let is_there = target
+            .adapter()
+            .is_none_or(|adapter| self.nearness(adapter) == Nearness::Ready);
+        is_there && self.in_flight < UNATTENDED_RUNS
+    }
+
+    /// Takes over that an adapter is not there, though the last report has it.
+    pub fn forget_adapter(&mut self, adapter: &AdapterRef) {
+        if let Some((_, report)) = &mut self.report {
+            for upstream in &mut report.upstreams {
+                upstream.ready.retain(|held| held != adapter);
+            }
+        }
+    }
+
     /// Returns whether new work may be sent to the agent.
     pub fn takes_work(&self) -> bool {
-        self.usable && !self.leaving
+        (self.usable || self.unattended) && !self.leaving
     }
 
     /// Records an attempt that was sent to the agent.
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -15,6 +15,10 @@
 /// the rest of reading it.
 const LONG_PROMPT_TOKENS: f64 = 10_000.0;
 
+/// Cost of an engine whose load nobody tells, in seconds of wait: the reading
+/// of one long prompt.
+const UNATTENDED_COST: f64 = 0.25;
+
 /// Load of the upstreams of an agent that can serve a target.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Load {
@@ -92,7 +96,9 @@
     let engine = upstream.engine?;
     let rate = (engine.tokens_per_second as f64).max(1.0);
     let fresh = agent.fresh_tokens(target, demand);
-    let ahead = engine.unread + agent.unseen_tokens(now);
+    // An engine without its agent has a load that nobody tells.
+    let told = if agent.unattended { 0 } else { engine.unread };
+    let ahead = told + agent.unseen_tokens(now);
     let reading = (ahead + fresh) as f64 / rate;
     let held = engine.held + demand.held_tokens();
     let excess = held.saturating_sub(upstream.kv_tokens) as f64;
@@ -171,7 +177,12 @@
         } else {
             settings.domain_step.as_secs_f64()
         };
-        return Some(first_byte + load + after.unwrap_or(0.0) + away);
+        let unsure = if agent.unattended {
+            UNATTENDED_COST
+        } else {
+            0.0
+        };
+        return Some(first_byte + load + after.unwrap_or(0.0) + away + unsure);
     }
     let load = Load::of(now, agent, target, settings)?;
     let stalled = target.adapter().map_or(0.0, |adapter| {
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -16,6 +16,7 @@
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::popularity::Popularity;
 use dogwoodshunt_residency::report::ReportUpdate;
+use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::NotRun;
@@ -131,6 +132,24 @@
         }
     }
 
+    /// Records whether an agent is out of reach while its engine is not.
+    pub fn set_unattended(&mut self, key: AgentKey, unattended: bool) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.unattended = unattended;
+        }
+    }
+
+    /// Takes over that an agent's engine lacks an adapter, though its last
+    /// report has it.
+    pub fn forget_adapter(&mut self, key: AgentKey, adapter: &AdapterRef) {
+        let Some(agent) = self.agents.get_mut(key) else {
+            return;
+        };
+        self.near.forget(key, agent.reported());
+        agent.forget_adapter(adapter);
+        self.near.remember(key, agent.reported());
+    }
+
     /// Takes in an agent's load report, or what of it has changed.
     pub fn on_report(&mut self, now: Instant, key: AgentKey, update: ReportUpdate) {
         let Some(agent) = self.agents.get_mut(key) else {
@@ -214,7 +233,10 @@
 
     fn is_able(&self, key: AgentKey, ask: &Ask<'_>) -> bool {
         let agent = self.agents.get(key);
-        let usable = agent.is_some_and(|agent| agent.takes_work() && agent.serves(ask.target));
+        let usable = agent.is_some_and(|agent| {
+            let attended = !agent.unattended || agent.runs_unattended(ask.target);
+            attended && agent.takes_work() && agent.serves(ask.target)
+        });
         usable && !ask.excluded.contains(&key)
     }
 
