Keep what a leaving agent's last report says of its engine

The last report before a planned stop may be 100 ms old, and what came with the farewell was passed over, so an adapter loaded just before was not known. The farewell's adapters are taken over now; only that the agent takes nothing more is left out.

loaded_adapters_are_served_while_their_agents_are_gone passes, three runs of the whole file.

--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -3,6 +3,7 @@
 use crate::control::Control;
 use crate::ports::Decoder;
 use async_channel::Sender;
+use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_serving::registry::Listed;
 use dogwoodshunt_types::ServiceName;
@@ -215,9 +216,13 @@
             state.leaving = beat.leaving;
         }
         self.budgets.on_entries(now, beat.entries);
-        // What a leaving agent reports is that it takes nothing; what its
-        // engine holds is as it was.
-        if let Some(update) = beat.report.filter(|_| !beat.leaving) {
+        if let Some(mut update) = beat.report {
+            if let (true, ReportUpdate::Full(report)) = (beat.leaving, &mut update) {
+                // The agent takes nothing more, but its engine goes on, and
+                // refuses by itself what it can't run.
+                let upstreams = report.upstreams.iter_mut();
+                upstreams.for_each(|upstream| upstream.takes_work = true);
+            }
             self.router.on_report(now, agent, update);
             self.router.set_usable(agent, true);
             self.router.set_unattended(agent, false);
