--- a/crates/dogwoodshunt_border/src/http/exchange.rs
+++ b/crates/dogwoodshunt_border/src/http/exchange.rs
@@ -37,7 +37,7 @@
 
 /// Part of the peer's idle time after which a connection is not used again, so
 /// that a request never meets the peer's close.
-const IDLE_SHARE: f64 = 0.7;
+const IDLE_SHARE: f64 = 0.85;
 
 /// Idle connections kept for one peer.
 const IDLE_PER_PEER: usize = 32;
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -43,11 +43,11 @@
 
 /// How long one watch of what operators write waits: a connection that has
 /// gone silent must not hide a change for long.
-const OPERATOR_WAIT: Duration = Duration::from_millis(800);
+const OPERATOR_WAIT: Duration = Duration::from_millis(1_800);
 
 /// Pause between two watches of the list of upstreams: it changes many times
 /// a second, and a leaving upstream must be known within two.
-const UPSTREAMS_PAUSE: Duration = Duration::from_millis(400);
+const UPSTREAMS_PAUSE: Duration = Duration::from_millis(700);
 
 /// Time after SIGTERM in which new connections are still taken: the platform
 /// asks once a second and takes an entry out after two answers that it is not
