--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -324,6 +324,14 @@
         }
     }
 
+    /// Returns the agents that are known, in the order of their addresses.
+    #[cfg(test)]
+    pub(crate) fn agent_keys(&self) -> Vec<AgentKey> {
+        let mut known: Vec<_> = self.by_address.iter().collect();
+        known.sort();
+        known.into_iter().map(|(_, agent)| *agent).collect()
+    }
+
     fn count_store_call(&self, topic: Topic, outcome: &'static str) {
         let topic = topic.as_str();
         let labels = StoreOutcome { topic, outcome };
--- a/crates/dogwoodshunt_gateway/src/control/placing.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placing.rs
@@ -64,16 +64,32 @@
     pub request: RequestId,
 }
 
-/// A wish that waits for an agent's answer.
-pub(super) struct Waiting {
+/// A wish to run a model request, on its way from agent to agent.
+struct Wish {
     ask: PlaceAsk,
     target: Target,
-    agent: AgentKey,
-    attempt: u64,
+    /// Agents that it was brought to before.
     excluded: Vec<AgentKey>,
     reply: Sender<Result<Grant, NotRun>>,
 }
 
+impl Wish {
+    fn attempt(&self) -> u64 {
+        self.excluded.len() as u64
+    }
+
+    fn refuse(self, not_run: NotRun) {
+        // A caller that has left drops its receiver.
+        let _ = self.reply.try_send(Err(not_run));
+    }
+}
+
+/// A wish that waits for an agent's answer.
+pub(super) struct Waiting {
+    wish: Wish,
+    agent: AgentKey,
+}
+
 /// A granted run.
 pub(super) struct Running {
     agent: AgentKey,
@@ -93,8 +109,13 @@
         reply: Sender<Result<Grant, NotRun>>,
     ) {
         self.budgets.on_request(&ask.service);
-        let target = self.target_of(&ask);
-        self.ask_agent(now, ticket, ask, target, 0, Vec::new(), reply);
+        let wish = Wish {
+            target: self.target_of(&ask),
+            ask,
+            excluded: Vec::new(),
+            reply,
+        };
+        self.ask_agent(now, ticket, wish);
     }
 
     /// Names the version that must run: the newest one declared.
@@ -109,54 +130,36 @@
         }
     }
 
-    #[expect(clippy::too_many_arguments, reason = "the parts of a wish on its way")]
-    fn ask_agent(
-        &mut self,
-        now: Instant,
-        ticket: Ticket,
-        ask: PlaceAsk,
-        target: Target,
-        attempt: u64,
-        excluded: Vec<AgentKey>,
-        reply: Sender<Result<Grant, NotRun>>,
-    ) {
-        if attempt >= MOST_AGENTS {
-            let not_run = NotRun::new(NotRunReason::Overloaded, NO_AGENT_RETRY);
-            let _ = reply.try_send(Err(not_run));
+    fn ask_agent(&mut self, now: Instant, ticket: Ticket, wish: Wish) {
+        if wish.attempt() >= MOST_AGENTS {
+            wish.refuse(NotRun::new(NotRunReason::Overloaded, NO_AGENT_RETRY));
             return;
         }
         let routed = self.router.route(
             now,
             &Ask {
-                target: &target,
-                deadline: Some(ask.useful_until),
-                excluded: &excluded,
-                demand: &ask.demand,
+                target: &wish.target,
+                deadline: Some(wish.ask.useful_until),
+                excluded: &wish.excluded,
+                demand: &wish.ask.demand,
             },
         );
         let agent = match routed {
             Ok(agent) => agent,
             Err(not_run) => {
-                let _ = reply.try_send(Err(not_run));
+                wish.refuse(not_run);
                 return;
             }
         };
-        let waiting = Waiting {
-            ask,
-            target,
-            agent,
-            attempt,
-            excluded,
-            reply,
-        };
+        let waiting = Waiting { wish, agent };
         if self.router.agent(agent).is_some_and(|a| a.unattended) {
             self.grant_unattended(now, ticket, waiting);
             return;
         }
-        let ask = &waiting.ask;
+        let ask = &waiting.wish.ask;
         let admit = Admit {
-            request: self.request_of(ticket, attempt),
-            target: waiting.target.clone(),
+            request: self.request_of(ticket, waiting.wish.attempt()),
+            target: waiting.wish.target.clone(),
             demand: ask.demand.clone(),
             due_in: ask.due.saturating_duration_since(now),
             time_left: ask.useful_until.saturating_duration_since(now),
@@ -183,8 +186,8 @@
             self.go_elsewhere(now, ticket, waiting);
             return;
         };
-        let request = self.request_of(ticket, waiting.attempt);
-        let target = waiting.target.clone();
+        let request = self.request_of(ticket, waiting.wish.attempt());
+        let target = waiting.wish.target.clone();
         info!(self.around.log, "granted unattended"; "request" => %request,
             "upstream" => %upstream, "target" => %target);
         self.start(
@@ -200,16 +203,17 @@
     }
 
     fn start(&mut self, ticket: Ticket, waiting: Waiting, grant: Grant) {
+        let wish = waiting.wish;
         let running = Running {
             agent: waiting.agent,
-            target: waiting.target,
+            target: wish.target,
             request: grant.request,
-            demand: waiting.ask.demand,
-            due: waiting.ask.due,
-            useful_until: waiting.ask.useful_until,
+            demand: wish.ask.demand,
+            due: wish.ask.due,
+            useful_until: wish.ask.useful_until,
         };
         self.running.insert(ticket, running);
-        if waiting.reply.try_send(Ok(grant)).is_err() {
+        if wish.reply.try_send(Ok(grant)).is_err() {
             // The caller has left.
             self.on_done(ticket, false);
         }
@@ -224,8 +228,7 @@
         target: Target,
     ) {
         let (ticket, attempt) = split(request);
-        let current = self.waiting.get(&ticket);
-        if !current.is_some_and(|w| w.agent == agent && w.attempt == attempt) {
+        if !self.waits_at(ticket, agent, attempt) {
             // The caller has left, or the wish has gone elsewhere.
             self.send(agent, done(request, false));
             return;
@@ -258,36 +261,32 @@
         not_run: NotRun,
     ) {
         let (ticket, attempt) = split(request);
-        let current = self.waiting.get(&ticket);
-        if !current.is_some_and(|w| w.agent == agent && w.attempt == attempt) {
+        if !self.waits_at(ticket, agent, attempt) {
             return;
         }
         let Some(waiting) = self.waiting.remove(&ticket) else {
             return;
         };
         if not_run.reason == NotRunReason::Deadline {
-            self.router.on_end(agent, &waiting.target);
-            let _ = waiting.reply.try_send(Err(not_run));
+            self.router.on_end(agent, &waiting.wish.target);
+            waiting.wish.refuse(not_run);
             return;
         }
         self.go_elsewhere(now, ticket, waiting);
     }
 
+    /// Returns whether a wish waits for the answer to this very attempt.
+    fn waits_at(&self, ticket: Ticket, agent: AgentKey, attempt: u64) -> bool {
+        let current = self.waiting.get(&ticket);
+        current.is_some_and(|w| w.agent == agent && w.wish.attempt() == attempt)
+    }
+
     fn go_elsewhere(&mut self, now: Instant, ticket: Ticket, waiting: Waiting) {
-        self.router.on_end(waiting.agent, &waiting.target);
-        let mut excluded = waiting.excluded;
-        excluded.push(waiting.agent);
-        let attempt = waiting.attempt + 1;
-        let target = self.target_of(&waiting.ask);
-        self.ask_agent(
-            now,
-            ticket,
-            waiting.ask,
-            target,
-            attempt,
-            excluded,
-            waiting.reply,
-        );
+        let Waiting { mut wish, agent } = waiting;
+        self.router.on_end(agent, &wish.target);
+        wish.excluded.push(agent);
+        wish.target = self.target_of(&wish.ask);
+        self.ask_agent(now, ticket, wish);
     }
 
     /// Brings what waits at a lost agent elsewhere.
@@ -340,8 +339,8 @@
             self.send(run.agent, done(run.request, adapter_missing));
         }
         if let Some(waiting) = self.waiting.remove(&ticket) {
-            self.router.on_end(waiting.agent, &waiting.target);
-            let request = self.request_of(ticket, waiting.attempt);
+            self.router.on_end(waiting.agent, &waiting.wish.target);
+            let request = self.request_of(ticket, waiting.wish.attempt());
             self.send(waiting.agent, Frame::Cancel { request });
         }
     }
