--- a/crates/dogwoodshunt_model/src/main.rs
+++ b/crates/dogwoodshunt_model/src/main.rs
@@ -2,12 +2,12 @@
 
 use clap::Parser;
 use clap::ValueEnum;
+use dogwoodshunt_model::Fleet;
 use dogwoodshunt_model::Load;
 use dogwoodshunt_model::Outcome;
 use dogwoodshunt_model::World;
 use dogwoodshunt_model::engine::Spec;
 use dogwoodshunt_model::load;
-use dogwoodshunt_model::world::Fleet;
 use dogwoodshunt_residency::Settings as Holding;
 use dogwoodshunt_routing::Policy;
 use dogwoodshunt_routing::Settings as Placing;
--- a/crates/dogwoodshunt_model/src/tests.rs
+++ b/crates/dogwoodshunt_model/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the model, and of decisions by what callers get under a load.
 
+use crate::Fleet;
 use crate::Load;
 use crate::Outcome;
 use crate::World;
@@ -7,7 +8,6 @@
 use crate::engine::Progress;
 use crate::engine::Spec;
 use crate::weights::Weights;
-use crate::world::Fleet;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Settings as Holding;
 use dogwoodshunt_residency::demand::Part;
--- a/crates/dogwoodshunt_model/src/world.rs
+++ b/crates/dogwoodshunt_model/src/world.rs
@@ -4,10 +4,12 @@
 //! place; messages between them take the time of the way. What decides is the
 //! product's own code, at the model's time.
 
-use crate::engine::Engine;
 use crate::engine::Progress;
 use crate::engine::RunId;
-use crate::engine::Spec;
+use crate::host::Agent;
+use crate::host::BASE_MODEL;
+use crate::host::Fleet;
+use crate::host::Open;
 use crate::load;
 use crate::load::Class;
 use crate::load::Load;
@@ -17,26 +19,17 @@
 use crate::outcome::Outcome;
 use crate::weights::RELOAD_TIME;
 use crate::weights::Weights;
-use bon::Builder;
 use dogwoodshunt_residency::Action;
-use dogwoodshunt_residency::Gate;
 use dogwoodshunt_residency::JobKey;
 use dogwoodshunt_residency::Report;
-use dogwoodshunt_residency::Residency;
-use dogwoodshunt_residency::Settings as Holding;
 use dogwoodshunt_residency::Target;
-use dogwoodshunt_residency::UpstreamKey;
 use dogwoodshunt_residency::job::AnyJob;
 use dogwoodshunt_residency::job::Job;
 use dogwoodshunt_residency::job::RunEnd;
 use dogwoodshunt_residency::orders::OrderEnd;
-use dogwoodshunt_residency::orders::ProbeAnswer;
-use dogwoodshunt_residency::upstream::Kind;
-use dogwoodshunt_residency::upstream::Room;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::Ask;
 use dogwoodshunt_routing::Router;
-use dogwoodshunt_routing::Settings as Placing;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
@@ -45,13 +38,9 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Base model of all engines.
-const BASE_MODEL: &str = "base";
-
 /// One way between an entry and an agent.
 const WAY: Duration = Duration::from_micros(600);
 
@@ -64,38 +53,6 @@
 /// Agents that one request may be brought to.
 const MOST_AGENTS: usize = 4;
 
-/// How large the fleet is, and how it decides.
-#[derive(Builder, Clone, Debug)]
-pub struct Fleet {
-    /// Entries.
-    #[builder(default = 4)]
-    pub entries: usize,
-    /// Engines.
-    #[builder(default = 18)]
-    pub engines: usize,
-    /// What an engine can do.
-    #[builder(default = Spec::builder().build())]
-    pub engine: Spec,
-    /// Weights and limits of an entry.
-    #[builder(default)]
-    pub placing: Placing,
-    /// Weights and limits of an agent.
-    #[builder(default)]
-    pub holding: Holding,
-    /// Times the objective within which the first byte is expected, or else
-    /// the request is refused; the caller's patience bounds it.
-    #[builder(default = 3.2)]
-    pub useful_objectives: f64,
-}
-
-struct Open;
-
-impl Gate for Open {
-    fn check(&self, _target: &Target) -> Result<(), NotRun> {
-        Ok(())
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Event {
     Admit {
@@ -141,15 +98,6 @@
     Weights,
 }
 
-struct Agent {
-    residency: Residency,
-    upstream: UpstreamKey,
-    engine: Engine,
-    stepping: bool,
-    copies: VecDeque<AdapterRef>,
-    jobs: HashMap<JobKey, RunId>,
-}
-
 struct Live {
     request: Request,
     entry: usize,
@@ -181,7 +129,9 @@
     /// Creates a fleet that runs nothing.
     pub fn new(fleet: Fleet) -> Self {
         let start = Instant::now();
-        let agents = (0..fleet.engines).map(|_| agent(start, &fleet)).collect();
+        let agents = (0..fleet.engines)
+            .map(|_| Agent::new(start, &fleet))
+            .collect();
         let routers = (0..fleet.entries).map(|_| {
             let mut router = Router::new(fleet.placing.clone());
             let keys = (0..fleet.engines).map(|index| {
@@ -392,9 +342,7 @@
                 }
             }
             Action::Load { adapter, .. } => {
-                let copied = held.copies.contains(&adapter);
-                held.copies.retain(|copy| *copy != adapter);
-                if copied {
+                if held.take_copy(&adapter) {
                     self.schedule(RELOAD_TIME, Event::Loaded { agent, adapter });
                 } else {
                     self.weights.begin((agent, adapter));
@@ -411,10 +359,7 @@
                 }
             }
             Action::Unload { upstream, adapter } => {
-                held.copies.push_back(adapter.clone());
-                if held.copies.len() > held.engine.spec().host_copies {
-                    held.copies.pop_front();
-                }
+                held.keep_copy(adapter.clone());
                 let end = OrderEnd::Done;
                 held.residency.on_unload_end(upstream, &adapter, end);
                 let actions = held.residency.plan(now, &Open);
@@ -594,34 +539,6 @@
     }
 }
 
-fn agent(now: Instant, fleet: &Fleet) -> Agent {
-    let mut residency = Residency::new(fleet.holding.clone());
-    let base_model = BASE_MODEL.into();
-    let upstream = residency.add_upstream("engine".into(), Kind::Engine { base_model });
-    residency.set_owned(true);
-    let answer = ProbeAnswer {
-        boot: 1,
-        room: Room {
-            kv_tokens: fleet.engine.kv_tokens / 10 * 9,
-            transit: 4,
-            one_version: true,
-            ..Room::new(fleet.engine.slots, fleet.engine.batch)
-        },
-        has_base: true,
-        resident: Vec::new(),
-        incoming: None,
-    };
-    residency.on_probe(now, upstream, &answer);
-    Agent {
-        residency,
-        upstream,
-        engine: Engine::new(fleet.engine.clone()),
-        stepping: false,
-        copies: VecDeque::new(),
-        jobs: HashMap::new(),
-    }
-}
-
 /// Returns the time within which the first byte is of use.
 fn useful_wait(class: &Class, fleet: &Fleet) -> Duration {
     let useful = class.objective.mul_f64(fleet.useful_objectives);
