Take over signals before anything else, and lose no log line at the end

Change: signals are held back first thing in every program; what waits to be logged is written before a program ends.

--- a/crates/dogwoodshunt_local/src/main.rs
+++ b/crates/dogwoodshunt_local/src/main.rs
@@ -6,7 +6,7 @@
 use dogwoodshunt_local::samples;
 use dogwoodshunt_runtime::settings::LogLevel;
 use dogwoodshunt_runtime::settings::TelemetrySettings;
-use dogwoodshunt_runtime::shutdown;
+use dogwoodshunt_runtime::shutdown::StopSignals;
 use dogwoodshunt_runtime::telemetry;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -43,7 +43,7 @@
         },
         statsd: None,
     };
-    let log = telemetry::logger(&telemetry, "dogwoodshunt-local", "local");
+    let (log, _flushed_last) = telemetry::logger(&telemetry, "dogwoodshunt-local", "local");
     let plan = Plan {
         callers: Some(cli.callers),
         operators: Some(cli.operators),
@@ -63,7 +63,7 @@
              -d '{{\"model\": \"{}\", \"prompt\": \"hello\", \"max_tokens\": 8, \"stream\": true}}'",
             cli.callers, SAMPLES[0]
         );
-        shutdown::requested().await?;
+        StopSignals::take()?.requested().await?;
         Ok(())
     })
 }
--- a/crates/dogwoodshunt_runtime/src/program.rs
+++ b/crates/dogwoodshunt_runtime/src/program.rs
@@ -1,17 +1,17 @@
 //! What the mains of entry and agent share: `check` and `run`.
 
+use crate::reload::ReloadSignals;
 use crate::reload::Reloader;
 use crate::settings;
 use crate::settings::Checked;
 use crate::settings::TelemetrySettings;
-use crate::shutdown;
+use crate::shutdown::StopSignals;
 use crate::telemetry;
 use crate::traffic;
 use crate::traffic::Traffic;
 use async_channel::Receiver;
 use clap::Subcommand;
 use slog::Logger;
-use slog::error;
 use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -57,20 +57,17 @@
     pub stop: Receiver<()>,
     /// The settings file.
     pub settings: PathBuf,
+    /// SIGHUP, where the program has taken it over.
+    pub reload: Option<ReloadSignals>,
 }
 
 impl Surroundings {
     /// Returns settings as they change; those that are refused are only logged.
-    pub fn settings_changes<S: Checked + Send + 'static>(&self) -> Receiver<S> {
+    pub fn settings_changes<S: Checked + Send + 'static>(&mut self) -> Receiver<S> {
         let (changes, changed) = async_channel::bounded(1);
         let reloader = Reloader::new(self.settings.clone(), self.log.clone());
-        let log = self.log.clone();
-        let work = async move {
-            if let Err(error) = reloader.work(changes).await {
-                error!(log, "settings are not followed"; "error" => %error);
-            }
-        };
-        self.traffic.spawn(work).detach();
+        let signals = self.reload.take();
+        self.traffic.spawn(reloader.work(signals, changes)).detach();
         changed
     }
 }
@@ -116,11 +113,15 @@
     F: FnOnce(S, Surroundings) -> Result<(), Box<dyn Error>>,
 {
     let threads = usize::try_from(settings.traffic_threads())?;
+    // Before anything else, so that a signal at the start ends nothing.
+    let mut stop_signals = StopSignals::take()?;
+    let reload_signals = ReloadSignals::take()?;
     let (traffic, _threads) = traffic::start(threads)?;
-    let log = telemetry::logger(settings.telemetry(), name, settings.node());
+    let (log, _flushed_last) = telemetry::logger(settings.telemetry(), name, settings.node());
     let (stopping, stop) = async_channel::bounded::<()>(1);
     let wait = async move {
-        let _ = shutdown::requested().await;
+        // A failure to watch asks to stop too: the process could not be told.
+        let _ = stop_signals.requested().await;
         drop(stopping);
     };
     traffic.spawn(wait).detach();
@@ -129,6 +130,7 @@
         log,
         stop,
         settings: path,
+        reload: Some(reload_signals),
     };
     serve(settings, around)
 }
--- a/crates/dogwoodshunt_runtime/src/reload.rs
+++ b/crates/dogwoodshunt_runtime/src/reload.rs
@@ -17,12 +17,30 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use std::fs;
+use std::io;
 use std::path::PathBuf;
 use std::time::Duration;
 
 /// Time between two looks at the file without a signal.
 const LOOK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// SIGHUP, held back from now on.
+pub struct ReloadSignals {
+    signals: Signals,
+}
+
+impl ReloadSignals {
+    /// Takes over SIGHUP: from here on it no longer ends the process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the signal cannot be watched.
+    pub fn take() -> io::Result<Self> {
+        let signals = Signals::new([Signal::Hup])?;
+        Ok(Self { signals })
+    }
+}
+
 /// Follows the settings file of a process.
 pub struct Reloader {
     path: PathBuf,
@@ -79,16 +97,17 @@
     }
 
     /// Sends changed settings until the receiver is gone.
-    ///
-    /// # Errors
-    ///
-    /// Fails if signals cannot be watched.
-    pub async fn work<S: Checked>(mut self, changes: Sender<S>) -> std::io::Result<()> {
-        let mut signals = Signals::new([Signal::Hup])?;
+    pub async fn work<S: Checked>(
+        mut self,
+        mut signals: Option<ReloadSignals>,
+        changes: Sender<S>,
+    ) {
         loop {
             let signalled = async {
-                signals.next().await;
-                true
+                match &mut signals {
+                    Some(held) => held.signals.next().await.is_some(),
+                    None => std::future::pending().await,
+                }
             };
             let due = async {
                 Timer::after(LOOK_INTERVAL).await;
@@ -99,7 +118,7 @@
                 Look::Changed(settings) => {
                     info!(self.log, "settings changed"; "signalled" => signalled);
                     if changes.send(*settings).await.is_err() {
-                        return Ok(());
+                        return;
                     }
                 }
                 Look::Unchanged if signalled => info!(self.log, "settings unchanged"),
--- a/crates/dogwoodshunt_runtime/src/telemetry.rs
+++ b/crates/dogwoodshunt_runtime/src/telemetry.rs
@@ -21,18 +21,28 @@
 /// Log lines that may wait to be written.
 const LOG_QUEUE: usize = 8192;
 
-/// Returns a logger that writes to standard output.
-pub fn logger(settings: &TelemetrySettings, program: &'static str, node: &str) -> Logger {
+/// Writes what still waits to be logged when it is dropped.
+pub struct LogGuard {
+    _guard: slog_async::AsyncGuard,
+}
+
+/// Returns a logger that writes to standard output, and what a program drops
+/// last so that no line is lost at its end.
+pub fn logger(
+    settings: &TelemetrySettings,
+    program: &'static str,
+    node: &str,
+) -> (Logger, LogGuard) {
     let lines = slog_logfmt::Logfmt::new(io::stdout())
         .set_prefix(write_time)
         .build();
     let drain = Mutex::new(lines).fuse();
-    let drain = slog_async::Async::new(drain)
+    let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(LOG_QUEUE)
-        .build()
-        .fuse();
-    let drain = slog::LevelFilter::new(drain, level(settings.log_level)).fuse();
-    Logger::root(drain, o!("node" => node.to_owned(), "program" => program))
+        .build_with_guard();
+    let drain = slog::LevelFilter::new(drain.fuse(), level(settings.log_level)).fuse();
+    let log = Logger::root(drain, o!("node" => node.to_owned(), "program" => program));
+    (log, LogGuard { _guard: guard })
 }
 
 /// Returns a logger that drops everything, for tests.
--- a/crates/dogwoodshunt_standins/src/main.rs
+++ b/crates/dogwoodshunt_standins/src/main.rs
@@ -4,7 +4,7 @@
 use clap::Parser;
 use clap::Subcommand;
 use dogwoodshunt_border::http::Client;
-use dogwoodshunt_runtime::shutdown;
+use dogwoodshunt_runtime::shutdown::StopSignals;
 use dogwoodshunt_runtime::traffic;
 use dogwoodshunt_runtime::traffic::Traffic;
 use dogwoodshunt_standins::engine::EngineStandin;
@@ -116,7 +116,7 @@
         for standin in &served {
             eprintln!("listening address={}", standin.address);
         }
-        shutdown::requested().await
+        StopSignals::take()?.requested().await
     })
 }
 
