Close idle connections of peers that are gone

A connection to a peer that is never asked again stayed in the pool until the peer closed it. Opening a connection closes all that are past their time.

--- a/crates/dogwoodshunt_border/src/http/exchange.rs
+++ b/crates/dogwoodshunt_border/src/http/exchange.rs
@@ -163,6 +163,8 @@
             Err(std::io::ErrorKind::TimedOut.into())
         };
         self.opened.fetch_add(1, Ordering::Relaxed);
+        // Peers that are gone are asked for no connection again.
+        self.prune(Instant::now());
         let stream = TcpStream::connect(peer).or(late).await;
         let stream = stream.map_err(|error| not_sent(error.to_string()))?;
         // Without it the request is only sent later.
@@ -197,7 +199,7 @@
     }
 
     /// Closes idle connections that will not be used again.
-    pub fn prune(&self, now: Instant) {
+    fn prune(&self, now: Instant) {
         let mut idle = self.idle();
         idle.retain(|_, held| {
             held.retain(|c| !c.sender.is_closed() && c.idle_until > now);
