Refuse at once, when leaving, streams that would be cut

Ruled out: ending later; the platform kills the process then.

Change: a leaving entry refuses a stream that takes longer, by 1.5 times the mean of its route, than the process has left; the caller's retry reaches another entry. The process now ends 250 ms before the end of the grace, not 400.

Test: leaving_entry_takes_only_streams_that_can_end_before_it_does.

--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -37,6 +37,10 @@
 /// Pause that a caller is told after an upstream refused its request.
 const REFUSED_RETRY: Duration = Duration::from_millis(200);
 
+/// Pause that a caller is told where this process is leaving: a new connection
+/// leads to another one.
+const LEAVING_RETRY: Duration = Duration::from_millis(20);
+
 /// An engine that answers.
 pub(super) struct Engaged {
     /// Its answer.
@@ -72,6 +76,10 @@
 impl<U: Upstreams> Calls<U> {
     pub(super) async fn run_model(self: &Arc<Self>, task: &Arc<Task>) -> Told {
         let mut sends = Sends::default();
+        if !self.status.has_time_for(Instant::now(), &task.route.name) {
+            let not_run = NotRun::new(NotRunReason::Leaving, LEAVING_RETRY);
+            return Told::unsent(Answer::NotRun(not_run));
+        }
         let engaged = self.engage(task, &mut sends, task.call.resume_after).await;
         let sent = sends.sent;
         match engaged {
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -9,6 +9,7 @@
 use crate::call::Task;
 use crate::call::events::Events;
 use crate::call::guard::RunGuard;
+use crate::control::status::Status;
 use crate::metrics;
 use crate::metrics::Metrics;
 use crate::metrics::RouteOutcome;
@@ -27,6 +28,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Outcome of a stream that came to its end.
+const COMPLETE: &str = "complete";
+
 /// An answer to pass on.
 pub(super) struct Passing<U> {
     /// Serves requests, for a run that goes on elsewhere.
@@ -54,6 +58,7 @@
     resumed: u32,
     outcome: &'static str,
     route: Box<str>,
+    status: Arc<Status>,
     metrics: Metrics,
     log: Logger,
 }
@@ -71,6 +76,7 @@
             resumed: 0,
             outcome: "caller-left",
             route: task.route.name.clone(),
+            status: calls.status.clone(),
             metrics: calls.metrics.clone(),
             log: calls.log.clone(),
         }
@@ -98,6 +104,10 @@
             metrics::observe(firsts, &self.route, first.as_secs_f64());
         }
         metrics::observe(pauses, &self.route, self.longest_pause.as_secs_f64());
+        if self.outcome == COMPLETE {
+            let took = self.last.saturating_duration_since(self.arrived);
+            self.status.note_stream(&self.route, took);
+        }
         let labels = RouteOutcome {
             route: self.route.to_string(),
             outcome: self.outcome,
@@ -141,7 +151,7 @@
                 Some(Some(Err(broken))) => self.on_break(broken).await.map(Err),
                 Some(None) => {
                     self.over = true;
-                    self.passing.story.outcome = "complete";
+                    self.passing.story.outcome = COMPLETE;
                     let rest = self.events.as_mut().map(Events::take_partial);
                     rest.filter(|rest| !rest.is_empty()).map(Ok)
                 }
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -54,8 +54,9 @@
 /// ready.
 const READY_LAG: Duration = Duration::from_millis(2_500);
 
-/// Time before the end of the grace at which the process ends whatever runs.
-const GRACE_SLACK: Duration = Duration::from_millis(400);
+/// Time before the end of the grace at which the process ends whatever runs:
+/// its threads may have to wait for the processor.
+const GRACE_SLACK: Duration = Duration::from_millis(250);
 
 /// Why an entry cannot start.
 #[derive(Debug, Snafu)]
@@ -268,7 +269,8 @@
 ) -> bool {
     let _ = stop.recv().await;
     let begun = Instant::now();
-    status.set_leaving();
+    let ends_at = begun + settings.grace().saturating_sub(GRACE_SLACK);
+    status.set_leaving(ends_at);
     let _ = events.send(Event::Stop).await;
     Timer::at(begun + READY_LAG).await;
     drop(refuse_new);
@@ -277,7 +279,7 @@
         true
     };
     let over = async {
-        Timer::at(begun + settings.grace().saturating_sub(GRACE_SLACK)).await;
+        Timer::at(ends_at).await;
         false
     };
     answered.or(over).await
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -540,7 +540,22 @@
 fn entry_is_ready_once_it_knows_routes_and_upstreams() {
     let entry = Entry::new();
     assert!(entry.status.is_ready());
-    entry.status.set_leaving();
+    entry.status.set_leaving(entry.now);
     assert!(!entry.status.is_ready());
     assert!(!Status::default().is_ready());
 }
+
+#[test]
+fn leaving_entry_takes_only_streams_that_can_end_before_it_does() {
+    let (status, now) = (Status::default(), Instant::now());
+    for _ in 0..50 {
+        status.note_stream("short", Duration::from_millis(500));
+        status.note_stream("long", Duration::from_secs(6));
+    }
+    assert!(status.has_time_for(now, "long"));
+    status.set_leaving(now + Duration::from_secs(8));
+    assert!(status.has_time_for(now, "short"));
+    assert!(!status.has_time_for(now, "long"));
+    assert!(status.has_time_for(now, "unknown"));
+    assert!(!status.has_time_for(now + Duration::from_secs(8), "short"));
+}
