Answer 408 where a body stays away, under the product's own interface

Change: a body has ten seconds, as a head has; then the caller is told that the request was not run.

--- a/crates/dogwoodshunt_border/src/http/body.rs
+++ b/crates/dogwoodshunt_border/src/http/body.rs
@@ -8,11 +8,14 @@
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Body;
+use smol::Timer;
+use smol::future::FutureExt;
 use snafu::Snafu;
 use std::error::Error;
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 /// Why a body ended before it was complete.
 #[derive(Debug, Snafu)]
@@ -79,6 +82,28 @@
     }
 }
 
+/// Reads a whole body as [`read`] does; `None` if it takes longer than `timeout`.
+///
+/// # Errors
+///
+/// As [`read`].
+pub async fn read_within<B>(
+    body: B,
+    limit: usize,
+    timeout: Duration,
+) -> Option<Result<Bytes, ReadError>>
+where
+    B: Body,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let late = async {
+        Timer::after(timeout).await;
+        None
+    };
+    let whole = async { Some(read(body, limit).await) };
+    whole.or(late).await
+}
+
 /// Reads a whole body of at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/dogwoodshunt_entry/src/api/answer.rs
+++ b/crates/dogwoodshunt_entry/src/api/answer.rs
@@ -71,6 +71,12 @@
         Self::new(StatusCode::PAYLOAD_TOO_LARGE, Outcome::NotRun, message)
     }
 
+    /// Refuses a request whose body did not arrive in time.
+    pub fn slow_body(timeout: Duration) -> Self {
+        let text = format!("the body did not arrive within {timeout:?}");
+        Self::new(StatusCode::REQUEST_TIMEOUT, Outcome::NotRun, text)
+    }
+
     /// Refuses a path that does not exist.
     pub fn no_such_path(method: &Method, path: &str) -> Self {
         let text = format!("there is no {method} {path}");
@@ -147,7 +153,9 @@
 
 fn error_type(status: StatusCode) -> &'static str {
     match status {
-        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE => "invalid_request_error",
+        StatusCode::BAD_REQUEST | StatusCode::PAYLOAD_TOO_LARGE | StatusCode::REQUEST_TIMEOUT => {
+            "invalid_request_error"
+        }
         StatusCode::CONFLICT => "conflict_error",
         StatusCode::NOT_FOUND | StatusCode::GONE => "not_found_error",
         StatusCode::TOO_MANY_REQUESTS => "rate_limit_error",
--- a/crates/dogwoodshunt_entry/src/api/mod.rs
+++ b/crates/dogwoodshunt_entry/src/api/mod.rs
@@ -43,6 +43,8 @@
 pub struct Limits {
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
+    /// Time that the body of a request may take to arrive.
+    pub body_timeout: Duration,
     /// Time that a caller without a deadline of its own waits for the first byte.
     pub default_deadline: Duration,
 }
--- a/crates/dogwoodshunt_entry/src/api/request.rs
+++ b/crates/dogwoodshunt_entry/src/api/request.rs
@@ -232,7 +232,10 @@
 }
 
 async fn read_body(req: Request<Incoming>, limits: &Limits) -> Result<Bytes, GaveUp> {
-    let read = body::read(req.into_body(), limits.max_body_bytes).await;
+    let (body, limit) = (req.into_body(), limits.max_body_bytes);
+    let Some(read) = body::read_within(body, limit, limits.body_timeout).await else {
+        return Err(GaveUp::slow_body(limits.body_timeout));
+    };
     read.map_err(|error| match error {
         ReadError::Lost { .. } => GaveUp::bad_field("body", &error.to_string()),
         ReadError::TooLarge { .. } => GaveUp::too_large(&error.to_string()),
--- a/crates/dogwoodshunt_entry/src/entry.rs
+++ b/crates/dogwoodshunt_entry/src/entry.rs
@@ -49,6 +49,9 @@
 /// Time that a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time that the body of a request may take to arrive, as long as its head.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Time that a call of the key-value service may take.
 const KV_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -261,6 +264,7 @@
         let metrics = telemetry::metrics(&self.settings.telemetry).context(MetricsSnafu)?;
         let limits = Limits {
             max_body_bytes: usize::try_from(self.settings.max_body_bytes).unwrap_or(usize::MAX),
+            body_timeout: BODY_TIMEOUT,
             default_deadline: millis(self.settings.default_deadline_ms),
         };
         let callers = Arc::new(CallerApi {
