Name failure domains of local clusters neutrally

Cause: two clusters on loopback named their failure domains after a place of one of the users' sites. Change: domain-1 to domain-4 in both. Measured: nothing to measure; no test and no document refers to the names.

--- a/crates/dogwoodshunt_local/src/fleet.rs
+++ b/crates/dogwoodshunt_local/src/fleet.rs
@@ -254,6 +254,6 @@
 }
 
 fn domain(index: usize) -> &'static str {
-    const DOMAINS: [&str; 4] = ["kicukiro", "gasabo", "nyarugenge", "masaka"];
+    const DOMAINS: [&str; 4] = ["domain-1", "domain-2", "domain-3", "domain-4"];
     DOMAINS[index % DOMAINS.len()]
 }
--- a/crates/dogwoodshunt_proof/src/cluster.rs
+++ b/crates/dogwoodshunt_proof/src/cluster.rs
@@ -48,7 +48,7 @@
 const POLL: Duration = Duration::from_millis(20);
 
 /// Failure domains of the hosts, in turn.
-const DOMAINS: [&str; 4] = ["kicukiro", "gasabo", "nyarugenge", "masaka"];
+const DOMAINS: [&str; 4] = ["domain-1", "domain-2", "domain-3", "domain-4"];
 
 /// Largest answer read from a stand-in, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
