--- a/crates/dogwoodshunt_proof/src/process.rs
+++ b/crates/dogwoodshunt_proof/src/process.rs
@@ -100,6 +100,24 @@
         self.child.wait().map(drop)
     }
 
+    /// Returns whether the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system does not know it.
+    pub fn has_ended(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_some())
+    }
+
+    /// Asks the process to read its settings again.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it has ended.
+    pub fn reload(&self) -> io::Result<()> {
+        self.signal(Signal::HUP)
+    }
+
     /// Waits until the process has ended.
     ///
     /// # Errors
@@ -133,7 +151,11 @@
 }
 
 /// Returns the path of a program of this workspace, built beside the test.
-fn binary(program: &str) -> io::Result<PathBuf> {
+///
+/// # Errors
+///
+/// Fails if it is not built.
+pub fn binary(program: &str) -> io::Result<PathBuf> {
     let test = env::current_exe()?;
     let beside = test.ancestors().skip(1).take(2);
     let mut candidates = beside.map(|dir| dir.join(program));
