Explain a refusal or loss from its id to its cause

Cause: a test that plays the three walks of OPERATIONS found that a request refused after waiting at an agent left no trace there, and that the entry's line did not name the agent's id for it; load orders and the loss of an upstream bear no request id, so explain left them out.

--- a/crates/dogwoodshunt_ctl/src/tests.rs
+++ b/crates/dogwoodshunt_ctl/src/tests.rs
@@ -103,3 +103,40 @@
         assert!(line.text().starts_with(&start), "{}", line.text());
     }
 }
+
+/// A request that waited for its adapter and lost its engine, among lines that
+/// have nothing to do with it.
+const CAUSES: &str = r#"
+ts_ms=100 event="engine named" node=agent-3 upstream=engine-3
+ts_ms=100 event="engine named" node=agent-4 upstream=engine-4
+ts_ms=4500 event="ordered" node=agent-3 order="load base/a@1"
+ts_ms=4600 event="ordered" node=agent-4 order="load base/a@1"
+ts_ms=4600 event="ordered" node=agent-3 order="load base/b@1"
+ts_ms=5000 event="granted" node=agent-3 request=00a-256 target=base/a@1 waited_ms=600
+ts_ms=5001 event="placed" node=entry-1 id=c1 request=00a-256 upstream=engine-3 target=base/a@1
+ts_ms=5400 event="request" node=entry-1 id=c1 outcome=lost upstream=engine-3 took_ms=1000
+ts_ms=5500 event="engine lost" node=agent-3 error="reset"
+ts_ms=5500 event="engine lost" node=agent-4 error="reset"
+ts_ms=8000 event="upstream gone" node=entry-2 upstream=engine-3
+ts_ms=8000 event="upstream gone" node=entry-2 upstream=engine-4
+ts_ms=60000 event="engine lost" node=agent-3 error="reset"
+"#;
+
+#[test]
+fn story_tells_of_the_load_waited_for_and_of_the_engine_lost() {
+    let lines = CAUSES.lines().filter_map(Line::parse).collect();
+    let story = explain::story(lines, "c1");
+    let events: Vec<&str> = story
+        .iter()
+        .map(|line| line.text().split('"').nth(1).unwrap_or_default())
+        .collect();
+    let expected = [
+        "ordered",
+        "granted",
+        "placed",
+        "request",
+        "engine lost",
+        "upstream gone",
+    ];
+    assert_eq!(events, expected, "{story:#?}");
+}
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -210,6 +210,7 @@
         let mut demand = model.demand.clone();
         demand.rank = task.route.rank;
         let ask = PlaceAsk {
+            id: task.call.id.clone(),
             service: task.service.clone(),
             base_model: model.base_model.clone(),
             adapter: model.adapter.clone(),
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -241,6 +241,12 @@
         Some((upstream.name.clone(), upstream.address))
     }
 
+    /// Returns the address of an agent, as text; empty if it was forgotten.
+    pub(super) fn address_of(&self, agent: AgentKey) -> String {
+        let state = self.agents.get(&agent);
+        state.map_or_else(String::new, |state| state.address.to_string())
+    }
+
     pub(super) fn beat_all(&mut self, now: Instant) {
         let limit = self.limits.heartbeat * MISSED_BEATS;
         let mut silent = Vec::new();
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -272,7 +272,7 @@
             Event::Done {
                 ticket,
                 adapter_missing,
-            } => self.on_done(ticket, adapter_missing),
+            } => self.on_done(now, ticket, adapter_missing),
             Event::FirstByte { ticket } => self.on_first_byte(ticket),
             Event::Frame { agent, frame } => self.on_frame(now, agent, frame),
             Event::Listing { topic, listing } => self.on_listing(now, topic, &listing),
--- a/crates/dogwoodshunt_gateway/src/control/placing.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placing.rs
@@ -37,6 +37,8 @@
 /// A model request that needs an engine.
 #[derive(Clone, Debug)]
 pub struct PlaceAsk {
+    /// Id that the caller gave it.
+    pub id: Box<str>,
     /// Service whose engines run it.
     pub service: ServiceName,
     /// Base model that it names.
@@ -88,6 +90,7 @@
 pub(super) struct Waiting {
     wish: Wish,
     agent: AgentKey,
+    since: Instant,
 }
 
 /// A granted run.
@@ -151,7 +154,11 @@
                 return;
             }
         };
-        let waiting = Waiting { wish, agent };
+        let waiting = Waiting {
+            wish,
+            agent,
+            since: now,
+        };
         if self.router.agent(agent).is_some_and(|a| a.unattended) {
             self.grant_unattended(now, ticket, waiting);
             return;
@@ -191,6 +198,7 @@
         info!(self.around.log, "granted unattended"; "request" => %request,
             "upstream" => %upstream, "target" => %target);
         self.start(
+            now,
             ticket,
             waiting,
             Grant {
@@ -202,7 +210,7 @@
         );
     }
 
-    fn start(&mut self, ticket: Ticket, waiting: Waiting, grant: Grant) {
+    fn start(&mut self, now: Instant, ticket: Ticket, waiting: Waiting, grant: Grant) {
         let wish = waiting.wish;
         let running = Running {
             agent: waiting.agent,
@@ -215,7 +223,7 @@
         self.running.insert(ticket, running);
         if wish.reply.try_send(Ok(grant)).is_err() {
             // The caller has left.
-            self.on_done(ticket, false);
+            self.on_done(now, ticket, false);
         }
     }
 
@@ -242,6 +250,7 @@
             return;
         };
         self.start(
+            now,
             ticket,
             waiting,
             Grant {
@@ -267,6 +276,7 @@
         let Some(waiting) = self.waiting.remove(&ticket) else {
             return;
         };
+        self.log_wait(now, ticket, &waiting, &not_run.reason.to_string());
         if not_run.reason == NotRunReason::Deadline {
             self.router.on_end(agent, &waiting.wish.target);
             waiting.wish.refuse(not_run);
@@ -275,6 +285,15 @@
         self.go_elsewhere(now, ticket, waiting);
     }
 
+    /// Logs that an agent did not let a wish run, and under which id it knew it.
+    fn log_wait(&self, now: Instant, ticket: Ticket, waiting: &Waiting, why: &str) {
+        let Waiting { wish, agent, since } = waiting;
+        let waited = now.saturating_duration_since(*since);
+        info!(self.around.log, "not granted"; "id" => %wish.ask.id,
+            "request" => %self.request_of(ticket, wish.attempt()), "why" => why,
+            "agent" => self.address_of(*agent), "waited_ms" => waited.as_millis() as u64);
+    }
+
     /// Returns whether a wish waits for the answer to this very attempt.
     fn waits_at(&self, ticket: Ticket, agent: AgentKey, attempt: u64) -> bool {
         let current = self.waiting.get(&ticket);
@@ -282,7 +301,9 @@
     }
 
     fn go_elsewhere(&mut self, now: Instant, ticket: Ticket, waiting: Waiting) {
-        let Waiting { mut wish, agent } = waiting;
+        let Waiting {
+            mut wish, agent, ..
+        } = waiting;
         self.router.on_end(agent, &wish.target);
         wish.excluded.push(agent);
         wish.target = self.target_of(&wish.ask);
@@ -295,6 +316,7 @@
         let tickets: Vec<Ticket> = at_agent.map(|(ticket, _)| *ticket).collect();
         for ticket in tickets {
             if let Some(waiting) = self.waiting.remove(&ticket) {
+                self.log_wait(now, ticket, &waiting, "the agent was lost");
                 self.go_elsewhere(now, ticket, waiting);
             }
         }
@@ -328,7 +350,7 @@
     }
 
     /// Ends a run, or a wish whose caller has left.
-    pub(super) fn on_done(&mut self, ticket: Ticket, adapter_missing: bool) {
+    pub(super) fn on_done(&mut self, now: Instant, ticket: Ticket, adapter_missing: bool) {
         if let Some(run) = self.running.remove(&ticket) {
             self.router.on_end(run.agent, &run.target);
             if let Some(adapter) = run.target.adapter().filter(|_| adapter_missing) {
@@ -339,6 +361,7 @@
             self.send(run.agent, done(run.request, adapter_missing));
         }
         if let Some(waiting) = self.waiting.remove(&ticket) {
+            self.log_wait(now, ticket, &waiting, "the caller left or it was too late");
             self.router.on_end(waiting.agent, &waiting.wish.target);
             let request = self.request_of(ticket, waiting.wish.attempt());
             self.send(waiting.agent, Frame::Cancel { request });
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -218,6 +218,7 @@
         self.next += 1;
         let (reply, granted) = async_channel::bounded(1);
         let ask = PlaceAsk {
+            id: format!("q{}", self.next).into(),
             service: "models".into(),
             base_model: "base".into(),
             adapter: Some(adapter.into()),
--- a/crates/dogwoodshunt_residency/src/residency.rs
+++ b/crates/dogwoodshunt_residency/src/residency.rs
@@ -100,6 +100,11 @@
         self.queue.len()
     }
 
+    /// Returns how many jobs run.
+    pub fn running_len(&self) -> usize {
+        self.jobs.len() - self.queue.len()
+    }
+
     /// Returns whether no job waits or runs.
     pub fn is_empty(&self) -> bool {
         self.jobs.is_empty()
--- a/crates/dogwoodshunt_steward/src/control/runs.rs
+++ b/crates/dogwoodshunt_steward/src/control/runs.rs
@@ -109,7 +109,8 @@
         };
         let (request, not_run) = (refused.request, refused.not_run);
         info!(self.around.log, "declined"; "request" => %request, "reason" => %not_run.reason,
-            "queued" => self.residency.queued_len());
+            "queued" => self.residency.queued_len(),
+            "running" => self.residency.running_len());
         self.around
             .metrics
             .count_admission(not_run.reason.to_string());
@@ -141,7 +142,13 @@
         };
         self.by_job.remove(&run.job);
         match self.residency.job(run.job) {
-            Some(AnyJob::Queued(_)) => {
+            Some(AnyJob::Queued(job)) => {
+                let waited = now.saturating_duration_since(job.arrived);
+                info!(self.around.log, "withdrawn"; "request" => %request,
+                    "target" => %job.target, "waited_ms" => waited.as_millis() as u64,
+                    "queued" => self.residency.queued_len(),
+                    "running" => self.residency.running_len());
+                self.around.metrics.count_admission("withdrawn");
                 let actions = self.residency.cancel(run.job);
                 self.carry_out(now, actions);
             }
