Send nothing to the engine of an agent that fell silent

The frozen host took the connections; 8 requests were read when it woke, after their callers had left.

Change: how an agent was lost decides. A closed connection shows that its host runs, and the engine goes on being used for what it held; silence may be a frozen or cut-off host, and the engine gets nothing until its agent answers. 'agent silent' names the address now, not a key.

Test: engine_of_a_silent_agent_gets_nothing, which failed before.

--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -27,6 +27,16 @@
 /// takes to start again, or most cuts last.
 const UNATTENDED_LIMIT: Duration = Duration::from_secs(15);
 
+/// How an agent came to be out of reach.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Loss {
+    /// Its connection was closed, so its host runs, and with it the engine.
+    Closed,
+    /// Nothing comes from it. Its host may be frozen or cut off: what is sent
+    /// to the engine there would wait, and arrive after its caller has left.
+    Silent,
+}
+
 /// What this entry knows of an agent.
 pub(super) struct AgentState {
     address: SocketAddr,
@@ -140,7 +150,8 @@
         self.readmit(now, agent);
     }
 
-    pub(super) fn on_agent_down(&mut self, now: Instant, agent: AgentKey) {
+    /// Notes that an agent is out of reach.
+    pub(super) fn on_agent_down(&mut self, now: Instant, agent: AgentKey, loss: Loss) {
         let Some(state) = self.agents.get_mut(&agent) else {
             return;
         };
@@ -148,9 +159,10 @@
             tx.close();
         }
         state.leaving = false;
-        state.lost = Some(now);
+        let unattended = loss == Loss::Closed;
+        state.lost = unattended.then_some(now);
         self.router.set_usable(agent, false);
-        self.router.set_unattended(agent, true);
+        self.router.set_unattended(agent, unattended);
         self.apply_leaving();
         self.replace_waiting(now, agent);
     }
@@ -268,8 +280,8 @@
             let _ = tx.try_send(Frame::Beat(Box::new(beat)));
         }
         for agent in silent {
-            warn!(self.around.log, "agent silent"; "agent" => ?agent);
-            self.on_agent_down(now, agent);
+            warn!(self.around.log, "agent silent"; "agent" => self.address_of(agent));
+            self.on_agent_down(now, agent, Loss::Silent);
         }
     }
 
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::connector::Connector;
 use crate::control::agents::AgentState;
+use crate::control::agents::Loss;
 use crate::control::placing::Running;
 use crate::control::placing::Waiting;
 use crate::control::plain::Budgets;
@@ -257,7 +258,7 @@
 
     pub(crate) fn handle(&mut self, now: Instant, event: Event) {
         match event {
-            Event::AgentDown { agent } => self.on_agent_down(now, agent),
+            Event::AgentDown { agent } => self.on_agent_down(now, agent, Loss::Closed),
             Event::AgentUp {
                 agent,
                 identity,
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -457,6 +457,16 @@
     assert!(granted.try_recv().unwrap().is_err());
 }
 
+/// A host that is frozen takes connections and reads them when it wakes.
+#[test]
+fn engine_of_a_silent_agent_gets_nothing() {
+    let mut entry = Entry::new();
+    entry.now += Duration::from_secs(5);
+    entry.handle(Event::StoreAnswered(Topic::Operator));
+    let (_, granted) = entry.place("a");
+    assert!(granted.try_recv().unwrap().is_err());
+}
+
 #[test]
 fn adapter_that_an_engine_says_it_lacks_is_not_sought_there_again() {
     let mut entry = Entry::new();
