Keep a silent agent's engine closed once its connection ends

Change: the end of a connection that was closed here says nothing new. Test: engine_of_a_silent_agent_gets_nothing tells of that end too, and failed.

--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -155,9 +155,11 @@
         let Some(state) = self.agents.get_mut(&agent) else {
             return;
         };
-        if let Some(tx) = state.tx.take() {
-            tx.close();
-        }
+        let Some(tx) = state.tx.take() else {
+            // The end of a connection that was closed here, for silence.
+            return;
+        };
+        tx.close();
         state.leaving = false;
         let unattended = loss == Loss::Closed;
         state.lost = unattended.then_some(now);
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -465,6 +465,12 @@
     entry.handle(Event::StoreAnswered(Topic::Operator));
     let (_, granted) = entry.place("a");
     assert!(granted.try_recv().unwrap().is_err());
+    // The connections that were closed for it are told of as well.
+    for (agent, _) in entry.agents.clone() {
+        entry.handle(Event::AgentDown { agent });
+    }
+    let (_, granted) = entry.place("a");
+    assert!(granted.try_recv().unwrap().is_err());
 }
 
 #[test]
