Let loads yield to a crowded weight store

Cause: after a start or a loss of power every engine orders up to four adapters at once.

Ruled out: one load at a time always.

Change: an agent goes by how long its own loads take. It starts with one at a time, adds one for each load at the usual time and for each second without a slow one, and goes back to one after a load of 1.6 times that. Loads from the host's own copy tell nothing.

Tests: loads_that_yield_to_a_crowded_store_serve_more_callers plays the load in the model against four at once; tests/load_window.rs. Two tests that want several loads at once now say so in their settings or wait for the second, with the same assertions.

--- a/crates/dogwoodshunt_model/src/main.rs
+++ b/crates/dogwoodshunt_model/src/main.rs
@@ -88,6 +88,12 @@
     /// Prompts that an engine may have before it, in milliseconds of reading.
     #[arg(long, default_value_t = 300)]
     read_ahead_ms: u64,
+    /// Adapters that an engine that has just started loads at once.
+    #[arg(long, default_value_t = Holding::default().loads_at_first)]
+    loads_at_first: usize,
+    /// Times the usual time from which a load shows that the store is crowded.
+    #[arg(long, default_value_t = Holding::default().slow_load)]
+    slow_load: f64,
     /// Times the objective within which the first byte must be expected.
     #[arg(long, default_value_t = 3.2)]
     useful_objectives: f64,
@@ -107,6 +113,8 @@
             .batch_weight(0.0)
             .build();
         let holding = Holding::builder()
+            .loads_at_first(self.loads_at_first)
+            .slow_load(self.slow_load)
             .load_share(1_000.0)
             .load_burst(4.0)
             .granter_timeout(Duration::ZERO)
--- a/crates/dogwoodshunt_model/src/tests.rs
+++ b/crates/dogwoodshunt_model/src/tests.rs
@@ -116,11 +116,12 @@
         .holding(holding())
         .useful_objectives(useful_objectives)
         .build();
-    let load = Load::builder()
-        .rate(rate)
-        .length(Duration::from_secs(15))
-        .seed(11)
-        .build();
+    play_from_cold(fleet, rate, Duration::from_secs(15), 11)
+}
+
+/// Plays a load on engines that hold no adapter.
+fn play_from_cold(fleet: Fleet, rate: f64, length: Duration, seed: u64) -> Outcome {
+    let load = Load::builder().rate(rate).length(length).seed(seed).build();
     World::new(fleet).play(&load)
 }
 
@@ -192,6 +193,40 @@
     );
 }
 
+/// Returns the mean share on time and the mean worth over two seeds.
+fn served_from_cold(holding: &Holding, rate: f64, seconds: u64) -> (f64, f64) {
+    let plays = (1..=2).map(|seed| {
+        let fleet = Fleet::builder()
+            .placing(placing())
+            .holding(holding.clone())
+            .useful_objectives(1.4)
+            .build();
+        play_from_cold(fleet, rate, Duration::from_secs(seconds), seed)
+    });
+    let plays: Vec<Outcome> = plays.collect();
+    let count = plays.len() as f64;
+    let on_time: f64 = plays.iter().map(Outcome::on_time).sum();
+    let worth: f64 = plays.iter().map(Outcome::worth).sum();
+    (on_time / count, worth / count)
+}
+
+/// Under a heavy load, where all engines have lost their adapters, as after a
+/// loss of power, and where that load goes on. A calm one is served alike.
+#[rstest]
+#[case(110.0, 5)]
+#[case(110.0, 15)]
+fn loads_that_yield_to_a_crowded_store_serve_more_callers(#[case] rate: f64, #[case] seconds: u64) {
+    let eager = Holding {
+        loads_at_first: 4,
+        slow_load: f64::INFINITY,
+        ..holding()
+    };
+    let yielding = served_from_cold(&holding(), rate, seconds);
+    let eager = served_from_cold(&eager, rate, seconds);
+    assert!(yielding.0 > eager.0, "{yielding:?}, {eager:?}");
+    assert!(yielding.1 > eager.1, "{yielding:?}, {eager:?}");
+}
+
 #[test]
 fn calm_load_is_served_nearly_whole() {
     let outcome = play(50.0, placing(), 1.4);
--- a/crates/dogwoodshunt_residency/src/lib.rs
+++ b/crates/dogwoodshunt_residency/src/lib.rs
@@ -5,13 +5,14 @@
 //! come out. The crate does no I/O, reads no clock and takes no lock.
 //!
 //! Read [`job`], [`demand`] and [`upstream`] for the state, [`residency`] and [`orders`] for
-//! the events, then [`plan`] for the decisions; [`budget`],
+//! the events, then [`plan`] for the decisions; [`budget`], [`load_window`],
 //! [`popularity`] and [`prefix`] serve it.
 
 pub mod action;
 pub mod budget;
 pub mod demand;
 pub mod job;
+pub mod load_window;
 pub mod orders;
 pub mod pace;
 pub mod plan;
--- a/crates/dogwoodshunt_residency/src/orders.rs
+++ b/crates/dogwoodshunt_residency/src/orders.rs
@@ -85,9 +85,10 @@
         let Some(upstream) = self.upstreams.get_mut(key) else {
             return;
         };
-        upstream.read_back(now, answer.boot, &answer.resident);
+        let settings = &self.settings;
+        upstream.read_back(now, answer.boot, &answer.resident, settings);
         if let Some(incoming) = &answer.incoming {
-            upstream.read_incoming(now, incoming, &answer.resident);
+            upstream.read_incoming(now, incoming, &answer.resident, settings);
         }
         if upstream.room.kv_tokens != answer.room.kv_tokens {
             let kept = answer.room.kv_tokens;
@@ -158,9 +159,13 @@
             return;
         };
         upstream.backoffs.remove(adapter);
-        if let Some(resident) = upstream.residents.get_mut(adapter) {
-            resident.state = Residence::Ready;
-            resident.last_used = now;
+        let Some(resident) = upstream.residents.get_mut(adapter) else {
+            return;
+        };
+        let before = std::mem::replace(&mut resident.state, Residence::Ready);
+        resident.last_used = now;
+        if let Residence::Loading { since } = before {
+            upstream.note_load(now, since, &self.settings);
         }
     }
 
--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -342,6 +342,7 @@
             .filter(|(_, upstream)| upstream.is_engine_of(base_model))
             .filter(|(_, upstream)| upstream.takes_order() && upstream.may_load(now, adapter))
             .filter(|(_, upstream)| upstream.base == Base::Ready)
+            .filter(|(_, upstream)| upstream.has_load_room(now))
             // A retiring adapter still holds its slot and its pins.
             .filter(|(_, upstream)| !upstream.residents.contains_key(adapter))
             .filter(|(key, upstream)| upstream.has_slot() || self.victim(now, *key).is_some())
--- a/crates/dogwoodshunt_residency/src/settings.rs
+++ b/crates/dogwoodshunt_residency/src/settings.rs
@@ -24,6 +24,13 @@
     /// Time that one load takes while the weight store is not crowded.
     #[builder(default = Duration::from_millis(250))]
     pub load_time: Duration,
+    /// Loads that an engine that has just started has in flight at first.
+    #[builder(default = 1)]
+    pub loads_at_first: usize,
+    /// Times the usual time from which a load shows that the store is crowded.
+    /// A report that comes late makes a load seem up to half as long again.
+    #[builder(default = 1.6)]
+    pub slow_load: f64,
     /// First pause after a failed load.
     #[builder(default = Duration::from_millis(500))]
     pub backoff_first: Duration,
--- a/crates/dogwoodshunt_residency/src/tests/tokens.rs
+++ b/crates/dogwoodshunt_residency/src/tests/tokens.rs
@@ -33,6 +33,9 @@
     }
 }
 
+/// Adapters that may be on their way to the engine at once.
+const TRANSIT: usize = 4;
+
 struct Engine {
     residency: Residency,
     key: UpstreamKey,
@@ -46,6 +49,8 @@
             Settings::builder()
                 .load_share(1_000.0)
                 .load_burst(8.0)
+                // As many as the engine takes; `load_window` tests fewer.
+                .loads_at_first(TRANSIT)
                 .build(),
         );
         let base_model = "base".into();
@@ -55,7 +60,7 @@
             boot: 1,
             room: Room {
                 kv_tokens: 100_000,
-                transit: 4,
+                transit: TRANSIT,
                 one_version: true,
                 ..Room::new(slots, 64)
             },
@@ -211,7 +216,7 @@
         engine.submit(now, name, 100, 0);
     }
     let first = loads(&engine.plan(now));
-    assert_eq!(first.len(), 4);
+    assert_eq!(first.len(), TRANSIT);
     engine.probe(now, &["a@1"], &["b@1", "c@1", "d@1"]);
     assert_eq!(loads(&engine.plan(now)).len(), 1);
 }
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -1,7 +1,9 @@
 //! One upstream and the adapters resident on it.
 
+use crate::load_window::LoadWindow;
 use crate::pace::Pace;
 use crate::prefix::PrefixRecord;
+use crate::settings::Settings;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_types::ServiceName;
@@ -169,6 +171,8 @@
     pub tokens: Tokens,
     /// Adapters that occupy its slots.
     pub residents: BTreeMap<AdapterRef, Resident>,
+    /// Loads that may be in flight.
+    pub load_window: LoadWindow,
     /// Adapters whose loads failed.
     pub backoffs: BTreeMap<AdapterRef, Backoff>,
 }
@@ -193,6 +197,7 @@
                 pace: Pace::default(),
             },
             residents: BTreeMap::new(),
+            load_window: LoadWindow::default(),
             backoffs: BTreeMap::new(),
         }
     }
@@ -217,15 +222,20 @@
     /// Loads may overlap up to the upstream's limit; an order whose answer is
     /// unknown, or one to unload, must end first.
     pub fn takes_order(&self) -> bool {
-        let mut loading = 0;
-        for resident in self.residents.values() {
-            match resident.state {
-                Residence::Loading { .. } => loading += 1,
-                Residence::Unloading | Residence::Unsure => return false,
-                Residence::Ready | Residence::Retiring => {}
-            }
-        }
-        loading < self.room.transit
+        let mut states = self.residents.values().map(|resident| resident.state);
+        let is_open = |state| matches!(state, Residence::Unloading | Residence::Unsure);
+        !states.any(is_open) && self.loading() < self.room.transit
+    }
+
+    /// Returns whether one more load helps, as far as loads here tell of others.
+    pub fn has_load_room(&self, now: Instant) -> bool {
+        self.loading() < self.load_window.size(now, self.room.transit)
+    }
+
+    fn loading(&self) -> usize {
+        let states = self.residents.values().map(|resident| resident.state);
+        let loading = states.filter(|state| matches!(state, Residence::Loading { .. }));
+        loading.count()
     }
 
     /// Returns another version of `adapter` that is resident here.
@@ -294,7 +304,13 @@
     ///
     /// Pins survive where the boot is unchanged, since their requests still
     /// run. A pinned adapter that is no longer listed takes no new requests.
-    pub fn read_back(&mut self, now: Instant, boot: BootId, listed: &[AdapterRef]) {
+    pub fn read_back(
+        &mut self,
+        now: Instant,
+        boot: BootId,
+        listed: &[AdapterRef],
+        settings: &Settings,
+    ) {
         let mut before = std::mem::take(&mut self.residents);
         if self.boot != Some(boot) {
             before.clear();
@@ -302,6 +318,7 @@
             self.tokens.unread = 0;
             self.tokens.held = 0;
             self.tokens.prefixes.clear();
+            self.load_window.reset(now, settings.loads_at_first);
         }
         for adapter in listed {
             let held = before.remove(adapter);
@@ -324,6 +341,13 @@
         self.link = Link::Up;
     }
 
+    /// Takes in how long a load that began at `since` took.
+    pub(crate) fn note_load(&mut self, now: Instant, since: Instant, settings: &Settings) {
+        let took = now.saturating_duration_since(since);
+        let (usual, slow) = (settings.load_time, settings.slow_load);
+        self.load_window.on_loaded(now, took, usual, slow);
+    }
+
     /// Takes over which adapters are on their way.
     ///
     /// A load that the upstream does not show after [`INCOMING_LAG`] is lost.
@@ -332,13 +356,15 @@
         now: Instant,
         incoming: &[AdapterRef],
         listed: &[AdapterRef],
+        settings: &Settings,
     ) {
         for adapter in listed.iter().filter(|adapter| !incoming.contains(adapter)) {
             if let Some(resident) = self.residents.get_mut(adapter)
-                && matches!(resident.state, Residence::Loading { .. })
+                && let Residence::Loading { since } = resident.state
             {
                 resident.state = Residence::Ready;
                 resident.last_used = now;
+                self.note_load(now, since, settings);
             }
         }
         self.residents.retain(|adapter, resident| {
--- a/crates/dogwoodshunt_steward/src/tests.rs
+++ b/crates/dogwoodshunt_steward/src/tests.rs
@@ -212,6 +212,8 @@
 #[test]
 fn order_names_the_engine_its_turn_and_the_fence() {
     let mut agent = Agent::ready();
+    // Long enough after the engine's start for two loads at once.
+    agent.now += Duration::from_millis(1_100);
     agent.report(|report| report.orders = 12);
     agent.admit("a", 7);
     agent.admit("b", 7);
