Show operators what is in force on the platform, and who lags behind

Cause: 'status' knew our own interface only; on the platform an operator had to read the store's records and each process's metrics by hand.

Change: dogwoodshunt-platform-status lists both and names what differs: an entry with another configuration, or not connected to all agents; a process that is not reached; a record that is not read. What differs is decided in gateway::overview, tested without a network; the program only fetches.

--- a/crates/dogwoodshunt_gateway/src/lib.rs
+++ b/crates/dogwoodshunt_gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! traffic threads carry requests ([`call`]), follow the platform's store
 //! ([`watch`]) and keep the connections to agents ([`connector`]). Which agent
 //! runs a model request is decided in `dogwoodshunt_routing`, the rest in
-//! `dogwoodshunt_serving`.
+//! `dogwoodshunt_serving`. [`overview`] compares the store with what processes
+//! serve, for operators.
 //!
 //! Read [`ports`] and [`settings`] first, then [`gateway`], [`control`] and
 //! [`call`].
@@ -15,6 +16,7 @@
 pub mod control;
 pub mod gateway;
 pub mod metrics;
+pub mod overview;
 pub mod ports;
 pub mod settings;
 pub mod watch;
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the control state, without a network.
 
+mod overview;
+
 use crate::control::Control;
 use crate::control::Event;
 use crate::control::Grant;
--- /dev/null
+++ b/crates/dogwoodshunt_gateway/src/tests/overview.rs
@@ -0,0 +1,82 @@
+//! What an operator is told of the platform.
+
+use crate::overview::Gauges;
+use crate::overview::Overview;
+use crate::overview::Process;
+use crate::ports::Item;
+use crate::tests::config;
+use dogwoodshunt_serving::registry::Listed;
+use rstest::rstest;
+
+fn listed(name: &str, service: &str) -> Item {
+    Item::Upstream(Listed {
+        name: name.into(),
+        service: service.into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: "a".into(),
+        started: 0,
+        leaving: name.starts_with("leaving"),
+    })
+}
+
+fn overview(metrics: &str) -> Overview {
+    let mut overview = Overview::default();
+    overview.add_record("config", Item::Config(Box::new(config(7))));
+    overview.add_record("e1", listed("e1", "models"));
+    overview.add_record("leaving", listed("leaving", "models"));
+    overview.add_record("p1", listed("p1", "records"));
+    overview.add_process(Process {
+        address: "10.0.0.1:9464".into(),
+        said: Ok(Gauges::read(metrics)),
+    });
+    overview
+}
+
+const CURRENT: &str = "# TYPE dogwoodshunt_config_revision gauge\n\
+    dogwoodshunt_config_revision 7\ndogwoodshunt_agents_connected 2\n\
+    dogwoodshunt_retries_total{service=\"a b\"} 3\n";
+
+#[test]
+fn fleet_that_agrees_has_no_problems() {
+    let overview = overview(CURRENT);
+    assert!(overview.problems().is_empty(), "{:?}", overview.problems());
+    let text = overview.to_string();
+    for part in [
+        "configuration 7:",
+        "service models: 2 upstreams, 1 leaving",
+        "service records: 1 upstreams, 0 leaving",
+        "process 10.0.0.1:9464: agents_connected=2 config_revision=7",
+    ] {
+        assert!(text.contains(part), "{text}");
+    }
+}
+
+#[rstest]
+#[case::older(
+    "dogwoodshunt_config_revision 6\n",
+    "holds configuration 6, the store 7"
+)]
+#[case::agent_missing("dogwoodshunt_agents_connected 1\n", "connected to 1 agents of 2")]
+#[case::not_ours("<html>\n", "serves no metrics of ours")]
+#[case::not_a_number("dogwoodshunt_config_revision x\n", "serves no metrics of ours")]
+fn process_that_lags_is_named(#[case] metrics: &str, #[case] problem: &str) {
+    let problems = overview(metrics).problems();
+    assert_eq!(problems.len(), 1, "{problems:?}");
+    assert!(problems[0].contains(problem), "{problems:?}");
+    assert!(problems[0].contains("10.0.0.1:9464"), "{problems:?}");
+}
+
+#[test]
+fn what_cannot_be_read_or_reached_is_named() {
+    let mut overview = overview(CURRENT);
+    overview.add_record("odd", Item::Unreadable("no service".into()));
+    overview.add_process(Process {
+        address: "10.0.0.2:9464".into(),
+        said: Err("connection refused".into()),
+    });
+    let problems = overview.problems();
+    assert_eq!(problems.len(), 2, "{problems:?}");
+    assert!(problems[0].contains("odd") && problems[0].contains("no service"));
+    assert!(problems[1].contains("10.0.0.2:9464") && problems[1].contains("refused"));
+    assert_eq!(Overview::default().problems().len(), 1);
+}
