Test that an engine's report makes loads yield, and a new start too

Cause: with the line taken out that takes in how long a load took where the engine's report shows its end, no test failed; the model ends loads by another way. It is the way of the platform.

The two tests see that line, the look at the window before a load and the reset at an engine's start taken out, one at a time.

--- a/crates/dogwoodshunt_residency/src/tests/tokens.rs
+++ b/crates/dogwoodshunt_residency/src/tests/tokens.rs
@@ -361,3 +361,40 @@
     let share = pace.share(begun + Duration::from_secs(25));
     assert!((0.5..1.0).contains(&share), "{share}");
 }
+
+/// Submits a request for each adapter and returns how many loads are ordered.
+fn loads_for(engine: &mut Engine, now: Instant, names: &[&str]) -> usize {
+    for name in names {
+        engine.submit(now, name, 100, 0);
+    }
+    loads(&engine.plan(now)).len()
+}
+
+#[rstest]
+#[case::at_full_speed(250, TRANSIT)]
+#[case::in_a_crowd(500, 1)]
+fn loads_that_the_report_shows_to_be_slow_make_room_for_others(
+    #[case] took_ms: u64,
+    #[case] expected: usize,
+) {
+    let now = Instant::now();
+    let mut engine = Engine::new(now, 9, &[]);
+    assert_eq!(loads_for(&mut engine, now, &["a"]), 1);
+    let there = now + Duration::from_millis(took_ms);
+    engine.probe(there, &["a@1"], &[]);
+    let names = ["b", "c", "d", "e", "f"];
+    assert_eq!(loads_for(&mut engine, there, &names), expected);
+}
+
+#[test]
+fn engine_that_has_started_anew_loads_one_at_a_time_again() {
+    let now = Instant::now();
+    let settings = Settings::builder().load_share(1_000.0).load_burst(8.0);
+    let mut engine = Engine::new(now, 9, &[]);
+    engine.residency.settings = settings.build();
+    engine.answer.boot = 2;
+    // So long after the first start that it would load as many as it takes.
+    let later = now + Duration::from_secs(60);
+    engine.probe(later, &[], &[]);
+    assert_eq!(loads_for(&mut engine, later, &["a", "b", "c"]), 1);
+}
