--- a/crates/dogwoodshunt_agent/src/agent.rs
+++ b/crates/dogwoodshunt_agent/src/agent.rs
@@ -11,6 +11,8 @@
 use dogwoodshunt_runtime::boot::draw_boot_id;
 use dogwoodshunt_runtime::link;
 use dogwoodshunt_runtime::link::Credentials;
+use dogwoodshunt_runtime::listen::ListenError;
+use dogwoodshunt_runtime::listen::listen;
 use dogwoodshunt_runtime::ownership::OwnershipWorker;
 use dogwoodshunt_runtime::traffic::Traffic;
 use dogwoodshunt_types::BootId;
@@ -20,8 +22,6 @@
 use slog::info;
 use slog::warn;
 use smol::net::TcpListener;
-use snafu::ResultExt;
-use snafu::Snafu;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,19 +36,6 @@
 /// Events that may wait for the control thread.
 const EVENT_QUEUE: usize = 16 * 1024;
 
-/// Why an agent cannot start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// The address cannot be listened on.
-    #[snafu(display("listen on {address}: {source}"))]
-    Listen {
-        /// Address of the settings.
-        address: SocketAddr,
-        /// What the system says.
-        source: std::io::Error,
-    },
-}
-
 /// An agent that is ready to run.
 pub struct Agent {
     /// Address on which entries connect.
@@ -70,11 +57,8 @@
         settings: AgentSettings,
         traffic: Traffic,
         log: Logger,
-    ) -> Result<Self, StartError> {
-        let address = settings.listen;
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.context(ListenSnafu { address })?;
-        let address = listener.local_addr().context(ListenSnafu { address })?;
+    ) -> Result<Self, ListenError> {
+        let (listener, address) = listen(settings.listen).await?;
         let me = Identity {
             node: settings.node.name.clone(),
             boot: draw_boot_id(),
--- a/crates/dogwoodshunt_entry/src/entry.rs
+++ b/crates/dogwoodshunt_entry/src/entry.rs
@@ -28,6 +28,8 @@
 use dogwoodshunt_runtime::boot::draw_boot_id;
 use dogwoodshunt_runtime::boot::unix_millis;
 use dogwoodshunt_runtime::link::Credentials;
+use dogwoodshunt_runtime::listen::ListenError;
+use dogwoodshunt_runtime::listen::listen;
 use dogwoodshunt_runtime::telemetry;
 use dogwoodshunt_runtime::traffic::Traffic;
 use dogwoodshunt_store::LogStore;
@@ -58,13 +60,11 @@
 /// Why an entry cannot start.
 #[derive(Debug, Snafu)]
 pub enum StartError {
-    /// The address cannot be listened on.
-    #[snafu(display("listen on {address}: {source}"))]
+    /// An address cannot be listened on.
+    #[snafu(transparent)]
     Listen {
-        /// Address of the settings.
-        address: SocketAddr,
-        /// What the system says.
-        source: std::io::Error,
+        /// Which one, and why.
+        source: ListenError,
     },
     /// Metrics cannot be sent.
     #[snafu(display("metrics: {source}"))]
@@ -317,13 +317,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.context(ListenSnafu { address })?;
-    let address = listener.local_addr().context(ListenSnafu { address })?;
-    Ok((listener, address))
-}
-
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -21,6 +21,8 @@
 use dogwoodshunt_routing::Router;
 use dogwoodshunt_runtime::boot::draw_boot_id;
 use dogwoodshunt_runtime::link::Credentials;
+use dogwoodshunt_runtime::listen::ListenError;
+use dogwoodshunt_runtime::listen::listen;
 use dogwoodshunt_runtime::metrics;
 use dogwoodshunt_runtime::metrics::Exposition;
 use dogwoodshunt_runtime::program::Surroundings as Program;
@@ -34,8 +36,6 @@
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
-use snafu::ResultExt;
-use snafu::Snafu;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,19 +58,6 @@
 /// its threads may have to wait for the processor.
 const GRACE_SLACK: Duration = Duration::from_millis(250);
 
-/// Why an entry cannot start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// The address cannot be listened on.
-    #[snafu(display("listen on {address}: {source}"))]
-    Listen {
-        /// Address of the settings.
-        address: SocketAddr,
-        /// What the system says.
-        source: std::io::Error,
-    },
-}
-
 /// The adapters to the platform that an entry runs with.
 pub struct Adapters<K, D, U> {
     /// The platform's store.
@@ -104,7 +91,7 @@
     /// # Errors
     ///
     /// Fails if an address cannot be listened on.
-    pub async fn bind(settings: GatewaySettings, program: Program) -> Result<Self, StartError> {
+    pub async fn bind(settings: GatewaySettings, program: Program) -> Result<Self, ListenError> {
         let (callers_listener, callers) = listen(settings.listen_callers).await?;
         let (ready_listener, ready) = listen(settings.listen_ready).await?;
         let (metrics_listener, metrics) = listen(settings.listen_metrics).await?;
@@ -285,13 +272,6 @@
     answered.or(over).await
 }
 
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.context(ListenSnafu { address })?;
-    let address = listener.local_addr().context(ListenSnafu { address })?;
-    Ok((listener, address))
-}
-
 /// Answers whether callers may be sent here, whatever is asked.
 struct Ready {
     status: Arc<Status>,
--- a/crates/dogwoodshunt_steward/src/steward.rs
+++ b/crates/dogwoodshunt_steward/src/steward.rs
@@ -14,6 +14,8 @@
 use dogwoodshunt_runtime::boot::draw_boot_id;
 use dogwoodshunt_runtime::link;
 use dogwoodshunt_runtime::link::Credentials;
+use dogwoodshunt_runtime::listen::ListenError;
+use dogwoodshunt_runtime::listen::listen;
 use dogwoodshunt_runtime::metrics;
 use dogwoodshunt_runtime::metrics::Exposition;
 use dogwoodshunt_runtime::ownership::OwnershipWorker;
@@ -25,8 +27,6 @@
 use slog::warn;
 use smol::Timer;
 use smol::net::TcpListener;
-use snafu::ResultExt;
-use snafu::Snafu;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -38,19 +38,6 @@
 /// Events that may wait for the control state.
 const EVENT_QUEUE: usize = 4096;
 
-/// Why the process cannot start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// The address cannot be listened on.
-    #[snafu(display("listen on {address}: {source}"))]
-    Listen {
-        /// Address of the settings.
-        address: SocketAddr,
-        /// What the system says.
-        source: std::io::Error,
-    },
-}
-
 /// A process beside an engine that is ready to run.
 pub struct Steward {
     /// Address on which entries connect.
@@ -70,7 +57,7 @@
     /// # Errors
     ///
     /// Fails if the address cannot be listened on.
-    pub async fn bind(settings: StewardSettings, program: Program) -> Result<Self, StartError> {
+    pub async fn bind(settings: StewardSettings, program: Program) -> Result<Self, ListenError> {
         let (listener, address) = listen(settings.listen).await?;
         let (metrics_listener, metrics) = listen(settings.listen_metrics).await?;
         let me = Identity {
@@ -148,13 +135,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
-    let listener = TcpListener::bind(address).await;
-    let listener = listener.context(ListenSnafu { address })?;
-    let address = listener.local_addr().context(ListenSnafu { address })?;
-    Ok((listener, address))
-}
-
 async fn accept_all(
     listener: TcpListener,
     credentials: Arc<Credentials>,
