--- a/crates/dogwoodshunt_residency/src/lib.rs
+++ b/crates/dogwoodshunt_residency/src/lib.rs
@@ -4,15 +4,16 @@
 //! entries have submitted to it. Events go in with the present time, actions
 //! come out. The crate does no I/O, reads no clock and takes no lock.
 //!
-//! Read [`job`], [`demand`] and [`upstream`] for the state, [`residency`] and [`orders`] for
-//! the events, then [`plan`] for the decisions; [`budget`], [`load_window`],
-//! [`popularity`] and [`prefix`] serve it.
+//! Read [`job`], [`demand`] and [`upstream`] for the state, [`residency`] and
+//! [`orders`] for the events, then [`plan`] and `loads` for the decisions;
+//! [`budget`], [`load_window`], [`popularity`] and [`prefix`] serve them.
 
 pub mod action;
 pub mod budget;
 pub mod demand;
 pub mod job;
 pub mod load_window;
+mod loads;
 pub mod orders;
 pub mod pace;
 pub mod plan;
