Go on without a panic when nobody reads the log any more

Cause: a closed pipe at standard output made the logging thread panic. The process went on, but said so on standard error as if it were broken, and any line logged later depended on how the library treats a thread that is gone.

Change: what cannot be written is dropped. Test: entry_whose_log_nobody_reads_any_more_goes_on now looks at standard error too, and failed before.

--- a/crates/dogwoodshunt_runtime/src/telemetry.rs
+++ b/crates/dogwoodshunt_runtime/src/telemetry.rs
@@ -36,11 +36,13 @@
     let lines = slog_logfmt::Logfmt::new(io::stdout())
         .set_prefix(write_time)
         .build();
-    let drain = Mutex::new(lines).fuse();
+    // Whoever read the lines may end before this process, which is to go on
+    // serving; there is no place left to say so.
+    let drain = Mutex::new(lines).ignore_res();
     let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(LOG_QUEUE)
         .build_with_guard();
-    let drain = slog::LevelFilter::new(drain.fuse(), level(settings.log_level)).fuse();
+    let drain = slog::LevelFilter::new(drain, level(settings.log_level)).ignore_res();
     let log = Logger::root(drain, o!("node" => node.to_owned(), "program" => program));
     (log, LogGuard { _guard: guard })
 }
