--- a/crates/dogwoodshunt_ctl/src/tests.rs
+++ b/crates/dogwoodshunt_ctl/src/tests.rs
@@ -107,19 +107,20 @@
 /// A request that waited for its adapter and lost its engine, among lines that
 /// have nothing to do with it.
 const CAUSES: &str = r#"
-ts_ms=100 event="engine named" node=agent-3 upstream=engine-3
-ts_ms=100 event="engine named" node=agent-4 upstream=engine-4
-ts_ms=4500 event="ordered" node=agent-3 order="load base/a@1"
-ts_ms=4600 event="ordered" node=agent-4 order="load base/a@1"
-ts_ms=4600 event="ordered" node=agent-3 order="load base/b@1"
-ts_ms=5000 event="granted" node=agent-3 request=00a-256 target=base/a@1 waited_ms=600
-ts_ms=5001 event="placed" node=entry-1 id=c1 request=00a-256 upstream=engine-3 target=base/a@1
-ts_ms=5400 event="request" node=entry-1 id=c1 outcome=lost upstream=engine-3 took_ms=1000
-ts_ms=5500 event="engine lost" node=agent-3 error="reset"
-ts_ms=5500 event="engine lost" node=agent-4 error="reset"
-ts_ms=8000 event="upstream gone" node=entry-2 upstream=engine-3
-ts_ms=8000 event="upstream gone" node=entry-2 upstream=engine-4
-ts_ms=60000 event="engine lost" node=agent-3 error="reset"
+ts_ms=20100 event="engine named" node=agent-3 upstream=engine-3
+ts_ms=20100 event="engine named" node=agent-4 upstream=engine-4
+ts_ms=10000 event="ordered" node=agent-3 order="load base/a@1"
+ts_ms=24500 event="ordered" node=agent-3 order="load base/a@1"
+ts_ms=24600 event="ordered" node=agent-4 order="load base/a@1"
+ts_ms=24600 event="ordered" node=agent-3 order="load base/b@1"
+ts_ms=25000 event="granted" node=agent-3 request=00a-256 target=base/a@1 waited_ms=600
+ts_ms=25001 event="placed" node=entry-1 id=c1 request=00a-256 upstream=engine-3 target=base/a@1
+ts_ms=25400 event="request" node=entry-1 id=c1 outcome=lost upstream=engine-3 took_ms=1000
+ts_ms=25500 event="engine lost" node=agent-3 error="reset"
+ts_ms=25500 event="engine lost" node=agent-4 error="reset"
+ts_ms=28000 event="upstream gone" node=entry-2 upstream=engine-3
+ts_ms=28000 event="upstream gone" node=entry-2 upstream=engine-4
+ts_ms=80000 event="engine lost" node=agent-3 error="reset"
 "#;
 
 #[test]
