Bound the memory that an event without end takes

Cause: a stream that can be resumed is buffered up to the end of an event, and an upstream in trouble may never send that end; each chunk was also searched from the start of the event again. Ruled out: heads, chunk size lines and trailers, which hyper bounds, and bodies of plain calls, which are read up to a limit; bytes that are no response end in an error of the connection.

Change: an event above 256 KiB counts as a response that broke off, and a chunk is searched once.

--- a/crates/dogwoodshunt_gateway/src/call/sse.rs
+++ b/crates/dogwoodshunt_gateway/src/call/sse.rs
@@ -2,50 +2,78 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use snafu::Snafu;
 
 /// Separator after an event.
 const EVENT_END: &[u8] = b"\n\n";
 
+/// Largest event that is buffered, in bytes. Events hold a few tokens; an upstream that
+/// sends an event without end must not fill the memory of the entry.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Prefix of the line that holds the id of an event.
 const ID_FIELD: &str = "id:";
 
+/// Error of an event that exceeds the size limit.
+#[derive(Debug, Snafu)]
+#[snafu(display("an event exceeds {MAX_EVENT_BYTES} bytes"))]
+pub(crate) struct EventTooLarge;
+
 /// Holds back the incomplete event at the end of the received bytes until the
 /// rest of the event arrives.
 #[derive(Debug, Default)]
-pub(super) struct EventSplitter {
+pub(crate) struct EventSplitter {
     partial: BytesMut,
+    /// Number of bytes of `partial` that were searched for the end of an event.
+    searched: usize,
     last_id: Option<u64>,
 }
 
 impl EventSplitter {
     /// Creates a splitter of a stream that starts after event `last_id`.
-    pub(super) fn starting_after(last_id: Option<u64>) -> Self {
+    pub(crate) fn starting_after(last_id: Option<u64>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
     /// Appends `bytes` and returns all buffered bytes up to the end of the last
     /// whole event.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event exceeds 256 KiB.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
         self.partial.extend_from_slice(bytes);
-        let mut ends = self.partial.windows(EVENT_END.len());
+        // The separator may begin in the bytes that were searched before.
+        let start = self.searched.saturating_sub(EVENT_END.len() - 1);
+        let mut ends = self.partial[start..].windows(EVENT_END.len());
         let Some(end) = ends.rposition(|window| window == EVENT_END) else {
-            return Bytes::new();
+            self.searched = self.partial.len();
+            return if self.partial.len() > MAX_EVENT_BYTES {
+                Err(EventTooLarge)
+            } else {
+                Ok(Bytes::new())
+            };
         };
-        let whole = self.partial.split_to(end + EVENT_END.len()).freeze();
+        let whole = self
+            .partial
+            .split_to(start + end + EVENT_END.len())
+            .freeze();
+        self.searched = 0;
         self.last_id = last_id_in(&whole).or(self.last_id);
-        whole
+        Ok(whole)
     }
 
     /// Returns the id of the last whole event that had one.
-    pub(super) fn last_id(&self) -> Option<u64> {
+    pub(crate) fn last_id(&self) -> Option<u64> {
         self.last_id
     }
 
     /// Removes and returns the bytes after the last whole event.
-    pub(super) fn take_partial(&mut self) -> Bytes {
+    pub(crate) fn take_partial(&mut self) -> Bytes {
+        self.searched = 0;
         std::mem::take(&mut self.partial).freeze()
     }
 }
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -163,7 +163,10 @@
             let chunk = async { Some(self.relay.exchange.next_chunk().await) };
             let item = match chunk.or(timeout).await {
                 None => Some(Err(self.on_deadline())),
-                Some(Some(Ok(bytes))) => self.on_bytes(&bytes).map(Ok),
+                Some(Some(Ok(bytes))) => match self.on_bytes(&bytes) {
+                    Ok(whole) => whole.map(Ok),
+                    Err(error) => self.on_read_error(error).await.map(Err),
+                },
                 Some(Some(Err(error))) => self.on_read_error(error).await.map(Err),
                 Some(None) => {
                     self.is_finished = true;
@@ -189,19 +192,25 @@
 
     /// Returns the bytes that may be relayed now; `None` if the last event is
     /// still incomplete.
-    fn on_bytes(&mut self, bytes: &Bytes) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the last event is too large to be buffered.
+    fn on_bytes(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, BodyError> {
         if self.relay.stats.first_event_after.is_none() || self.relay.stats.resume_count > 0 {
             self.relay.guard.report_first_byte();
         }
         let whole = match &mut self.splitter {
-            Some(splitter) => splitter.push(bytes),
+            Some(splitter) => splitter.push(bytes).map_err(|error| BodyError {
+                reason: error.to_string().into(),
+            })?,
             None => bytes.clone(),
         };
         if whole.is_empty() {
-            return None;
+            return Ok(None);
         }
         self.relay.stats.on_chunk(Instant::now());
-        Some(whole)
+        Ok(Some(whole))
     }
 
     /// Resumes the stream on another engine and returns `None`, or ends the
