--- a/crates/dogwoodshunt_border/src/kv/etcd.rs
+++ b/crates/dogwoodshunt_border/src/kv/etcd.rs
@@ -219,5 +219,7 @@
         key: key.map_err(|error| malformed(error.to_string()))?.into(),
         value: decode(&kv.value)?,
         mod_revision: mod_revision.map_err(|_| malformed("mod_revision is not a number".into()))?,
+        // etcd does not announce that it was restored.
+        era: 0,
     })
 }
--- a/crates/dogwoodshunt_border/src/kv/memory.rs
+++ b/crates/dogwoodshunt_border/src/kv/memory.rs
@@ -6,6 +6,7 @@
 use crate::kv::Op;
 use crate::kv::Precondition;
 use crate::kv::Record;
+use dogwoodshunt_types::StoreEra;
 use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -27,12 +28,20 @@
 struct MemoryState {
     records: BTreeMap<Box<str>, Record>,
     revision: i64,
+    era: StoreEra,
     last_lease: LeaseId,
     fault: Fault,
     reads: u64,
     writes: u64,
 }
 
+/// Copy of the data of a [`MemoryKv`], from which the service can be restored.
+#[derive(Clone, Debug)]
+pub struct MemoryKvCopy {
+    records: BTreeMap<Box<str>, Record>,
+    revision: i64,
+}
+
 /// In-memory key-value service whose leases never expire.
 #[derive(Debug, Default)]
 pub struct MemoryKv {
@@ -56,6 +65,24 @@
         (state.reads, state.writes)
     }
 
+    /// Returns a copy of the present data.
+    pub fn copy(&self) -> MemoryKvCopy {
+        let state = self.lock();
+        MemoryKvCopy {
+            records: state.records.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Replaces the data by an earlier copy and begins a new era. Revisions continue from that of
+    /// the copy.
+    pub fn restore(&self, copy: &MemoryKvCopy) {
+        let mut state = self.lock();
+        state.records = copy.records.clone();
+        state.revision = copy.revision;
+        state.era += 1;
+    }
+
     fn lock(&self) -> MutexGuard<'_, MemoryState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -87,6 +114,7 @@
                     key: key.clone(),
                     value,
                     mod_revision: self.revision,
+                    era: self.era,
                 };
                 self.records.insert(key, record);
             }
@@ -108,7 +136,12 @@
             std::ops::Bound::Included(start),
             std::ops::Bound::Excluded(end),
         ));
-        Ok(range.map(|(_, record)| record.clone()).collect())
+        let era = state.era;
+        let read = |record: &Record| Record {
+            era,
+            ..record.clone()
+        };
+        Ok(range.map(|(_, record)| read(record)).collect())
     }
 
     async fn txn(
--- a/crates/dogwoodshunt_border/src/kv/mod.rs
+++ b/crates/dogwoodshunt_border/src/kv/mod.rs
@@ -7,12 +7,22 @@
 mod etcd;
 pub mod memory;
 
+use dogwoodshunt_types::StoreEra;
 use snafu::Snafu;
 use std::future::Future;
 use std::time::Duration;
 
 pub use crate::kv::etcd::Etcd;
 
+/// State of the service after a change. Positions are ordered by era, then by revision.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StorePosition {
+    /// StoreEra in which the revision was assigned.
+    pub era: StoreEra,
+    /// Revision of the service.
+    pub revision: i64,
+}
+
 /// Key with its value and the revision of its last change.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -22,6 +32,8 @@
     pub value: Vec<u8>,
     /// Revision of the last change of the key.
     pub mod_revision: i64,
+    /// StoreEra of the service when the record was read.
+    pub era: StoreEra,
 }
 
 /// Write operation of a transaction.
@@ -143,9 +155,9 @@
 pub struct Listing {
     /// Records in ascending order of their keys.
     pub records: Vec<Record>,
-    /// Revision of the service up to which `records` contains all changes; a watch after this
-    /// revision misses none.
-    pub revision: i64,
+    /// Position of the service up to which `records` contains all changes; a watch after this
+    /// position misses none.
+    pub position: StorePosition,
 }
 
 /// Change of a key under a watched prefix.
@@ -179,6 +191,12 @@
     Changes(Vec<KeyChange>),
     /// The service no longer holds the history after the requested revision.
     Compacted,
+    /// The service was restored from an older copy after the requested position, so its revisions
+    /// are no longer comparable with the requested one.
+    Restored {
+        /// Present era of the service.
+        era: StoreEra,
+    },
 }
 
 /// Client of a key-value service that supports watches.
@@ -190,12 +208,12 @@
         prefix: &str,
     ) -> impl Future<Output = Result<Listing, KvError>> + Send;
 
-    /// Waits up to `wait` for changes under `prefix` with a revision greater than `after`.
+    /// Waits up to `wait` for changes under `prefix` after the position `after`.
     fn watch(
         &self,
         step: &'static str,
         prefix: &str,
-        after: i64,
+        after: StorePosition,
         wait: Duration,
     ) -> impl Future<Output = Result<WatchOutcome, KvError>> + Send;
 }
--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -23,8 +23,8 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::Revision;
+use dogwoodshunt_types::StoreEra;
 use dogwoodshunt_types::adapter;
-use dogwoodshunt_wire::frame::DeclaredVersion;
 use dogwoodshunt_wire::frame::EngineConfig;
 use dogwoodshunt_wire::frame::UpstreamConfig;
 use dogwoodshunt_wire::frame::UpstreamIdentity;
@@ -58,8 +58,10 @@
     /// Newest configured base model and capacity, with the revision of the
     /// configuration.
     config: Option<(Revision, EngineConfig)>,
-    /// Declared version of each adapter, with the revision of the declaration.
-    declared_versions: HashMap<AdapterName, (Revision, AdapterRef)>,
+    /// Newest declared version of each adapter.
+    declared_versions: HashMap<AdapterName, AdapterRef>,
+    /// Highest era of the key-value service that an entry has announced.
+    store_era: StoreEra,
     /// Fencing token, while this agent owns the engine.
     epoch: Option<Epoch>,
     /// Number of orders that the engine has accepted since its start, including those
@@ -76,6 +78,7 @@
             last_report_at: now,
             config: None,
             declared_versions: HashMap::new(),
+            store_era: 0,
             epoch: None,
             accepted_orders: 0,
         }
@@ -85,7 +88,7 @@
     /// `wanted` otherwise.
     pub(super) fn newest_version(&self, wanted: &AdapterRef) -> AdapterRef {
         match self.declared_versions.get(&wanted.name) {
-            Some((_, known)) if adapter::is_newer(&known.version, &wanted.version) => known.clone(),
+            Some(known) if adapter::is_newer(&known.version, &wanted.version) => known.clone(),
             Some(_) | None => wanted.clone(),
         }
     }
@@ -101,6 +104,7 @@
         if let Some(identity) = config.upstream {
             self.on_identity(identity);
         }
+        self.on_store_era(config.store_era);
         for declared in config.versions {
             self.on_version_declared(declared);
         }
@@ -133,18 +137,28 @@
         }
     }
 
-    fn on_version_declared(&mut self, declared: DeclaredVersion) {
-        let DeclaredVersion { adapter, revision } = declared;
-        let known = self.engine.declared_versions.get(&adapter.name);
-        if known.is_some_and(|(known, _)| *known >= revision) {
+    fn on_version_declared(&mut self, declared: AdapterRef) {
+        let known = self.engine.declared_versions.get(&declared.name);
+        if known.is_some_and(|known| !declared.replaces(known)) {
             return;
         }
-        info!(self.context.log, "version declared"; "adapter" => %adapter, "revision" => revision);
-        self.scheduler.retarget_queued(&adapter);
-        let name = adapter.name.clone();
-        self.engine
-            .declared_versions
-            .insert(name, (revision, adapter));
+        info!(self.context.log, "version declared"; "adapter" => %declared);
+        self.scheduler.retarget_queued(&declared);
+        let name = declared.name.clone();
+        self.engine.declared_versions.insert(name, declared);
+    }
+
+    /// Verifies the ownership of the engine once for each restore of the key-value service, which
+    /// may have discarded the takeover.
+    fn on_store_era(&mut self, era: StoreEra) {
+        let is_restore = era > self.engine.store_era && self.engine.epoch.is_some();
+        self.engine.store_era = self.engine.store_era.max(era);
+        if is_restore {
+            info!(self.context.log, "store restored, verifying ownership"; "era" => era);
+            // A verification that is pending already covers this restore: it reads the record
+            // after this point.
+            let _ = self.context.verify_ownership_tx.try_send(());
+        }
     }
 
     /// Applies a report of the engine; `None` if the engine did not answer.
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -25,7 +25,6 @@
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Admit;
-use dogwoodshunt_wire::frame::DeclaredVersion;
 use dogwoodshunt_wire::frame::EngineConfig;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::frame::UpstreamConfig;
@@ -127,6 +126,7 @@
                 slots: 2,
             },
             versions: Vec::new(),
+            store_era: 0,
         };
         modify(&mut upstream_config);
         self.receive_frame(Frame::UpstreamConfig(Box::new(upstream_config)));
@@ -356,25 +356,20 @@
 fn request_for_an_older_version_is_granted_on_the_declared_version() {
     let mut agent = TestAgent::owning_named_engine();
     agent.receive_upstream_config(|upstream_config| {
-        upstream_config.versions = vec![DeclaredVersion {
-            adapter: AdapterRef::new("a", "2"),
-            revision: 30,
-        }];
+        upstream_config.versions = vec![AdapterRef::new("a", "2")];
     });
     agent.request_run("a", 7);
     agent.receive_report(|report| report.adapters = vec![AdapterRef::new("a", "2")]);
     assert_eq!(granted_runs(&agent.take_sent_frames())[0].1, "a@2");
 }
 
+/// An entry that has just read a restored store declares the version of the copy.
 #[test]
-fn version_declared_at_an_older_revision_is_ignored() {
+fn older_declared_version_is_ignored() {
     let mut agent = TestAgent::owning_named_engine();
-    for (version, revision) in [("3", 40), ("2", 30)] {
+    for version in ["3", "2"] {
         agent.receive_upstream_config(|upstream_config| {
-            upstream_config.versions = vec![DeclaredVersion {
-                adapter: AdapterRef::new("a", version),
-                revision,
-            }];
+            upstream_config.versions = vec![AdapterRef::new("a", version)];
         });
     }
     agent.request_run("a", 7);
@@ -434,3 +429,31 @@
     assert!(announced);
     assert!(agent.events_rx.is_empty());
 }
+
+#[test]
+fn ownership_is_verified_once_for_each_restore_that_entries_announce() {
+    let mut agent = TestAgent::owning_named_engine();
+    for era in [3, 3, 2] {
+        agent.receive_upstream_config(|upstream_config| upstream_config.store_era = era);
+    }
+    assert_eq!(agent.verify_ownership_rx.try_recv(), Ok(()));
+    assert!(agent.verify_ownership_rx.is_empty());
+    agent.receive_upstream_config(|upstream_config| upstream_config.store_era = 4);
+    assert_eq!(agent.verify_ownership_rx.try_recv(), Ok(()));
+    // Orders carry the token of the takeover that was repeated after the restore.
+    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 12 }));
+    agent.request_run("a", 7);
+    assert_eq!(agent.take_sent_orders()[0].epoch, 12);
+}
+
+#[test]
+fn engine_that_reports_its_departure_gets_no_work_though_entries_list_it_as_ready() {
+    let mut agent = TestAgent::owning_named_engine();
+    agent.receive_report(|report| report.leaving = true);
+    agent.receive_upstream_config(|_| {});
+    agent.request_run("a", 7);
+    assert_eq!(
+        refusal_reasons(&agent.take_sent_frames()),
+        [NotRunReason::NoUpstream]
+    );
+}
--- a/crates/dogwoodshunt_entry/src/api/response.rs
+++ b/crates/dogwoodshunt_entry/src/api/response.rs
@@ -101,6 +101,7 @@
             | NotRunReason::Leaving
             | NotRunReason::LoadFailed
             | NotRunReason::NoUpstream
+            | NotRunReason::Paused
             | NotRunReason::KeyValueServiceUnreachable
             | NotRunReason::Stale => StatusCode::SERVICE_UNAVAILABLE,
         };
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -7,7 +7,7 @@
 mod guard;
 mod model;
 mod plain_service;
-mod sse;
+pub(crate) mod sse;
 mod stream;
 
 use crate::control::ControlEvent;
@@ -16,7 +16,9 @@
 use crate::metrics::Metrics;
 use crate::metrics::RouteOutcomeLabels;
 use crate::metrics::ServiceOutcomeLabels;
+use crate::platform::Dispatch;
 use crate::platform::UpstreamClient;
+use crate::platform::UpstreamNotice;
 use async_channel::Sender;
 use bytes::Bytes;
 use dogwoodshunt_border::http::ResponseBody;
@@ -283,6 +285,22 @@
         history.sent < routed.route.max_attempts && self.take_retry(&routed.service).await
     }
 
+    /// Passes what an upstream has announced to the control thread, before the caller
+    /// gets the response and before the next request is placed.
+    fn report_notice(&self, service: &ServiceName, dispatch: &Dispatch, notice: UpstreamNotice) {
+        if notice == UpstreamNotice::default() {
+            return;
+        }
+        let event = ControlEvent::UpstreamNotice {
+            service: service.clone(),
+            upstream: dispatch.upstream.clone(),
+            started: dispatch.started,
+            notice,
+        };
+        // The channel is unbounded and closes only while the process exits.
+        let _ = self.events.try_send(event);
+    }
+
     /// Counts the outcome of one send to an upstream.
     fn count_send(&self, service: &ServiceName, outcome: &'static str) {
         let labels = ServiceOutcomeLabels {
@@ -322,6 +340,7 @@
     let jitter = rand::rng().random();
     let retry_after = match not_run.reason {
         NotRunReason::Deadline => admission::retry_after(not_run.retry_after, useful_wait, jitter),
+        NotRunReason::Paused => admission::retry_after_pause(not_run.retry_after, jitter),
         _ => admission::retry_after(not_run.retry_after, Duration::ZERO, jitter),
     };
     CallResponse::NotRun(NotRun::new(not_run.reason, retry_after))
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -271,6 +271,7 @@
         let dispatch = Dispatch {
             address: grant.address,
             upstream: grant.upstream.clone(),
+            started: grant.started,
             version: adapter_version(&grant.target),
             time_left,
             rank: routed.route.rank,
@@ -289,10 +290,13 @@
             Some(Err(SendError::Lost { message, .. })) => {
                 ("lost", Err(SendFailure::MayHaveRun(message)))
             }
-            Some(Ok(upstream_response)) => (
-                upstream_response.execution_status.as_str(),
-                classify_response(upstream_response, guard),
-            ),
+            Some(Ok(upstream_response)) => {
+                self.report_notice(&routed.service, &dispatch, upstream_response.notice);
+                (
+                    upstream_response.execution_status.as_str(),
+                    classify_response(upstream_response, guard),
+                )
+            }
         };
         self.count_send(&routed.service, outcome);
         result
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -74,12 +74,18 @@
         let mut last_failure: Option<CallResponse> = None;
         loop {
             let selected = self.select_upstream(routed, &excluded).await;
-            let before_deadline = Instant::now() < routed.deadline;
-            let Some(selected) = selected.filter(|_| before_deadline) else {
-                let not_run = NotRun::new(NotRunReason::NoUpstream, REFUSED_RETRY_AFTER);
-                let response =
-                    last_failure.unwrap_or_else(|| refusal_response(not_run, Duration::ZERO));
-                return self.completion(response, &excluded, history.sent);
+            let selected = selected.and_then(|selected| {
+                let before_deadline = Instant::now() < routed.deadline;
+                let too_late = NotRun::new(NotRunReason::NoUpstream, REFUSED_RETRY_AFTER);
+                before_deadline.then_some(selected).ok_or(too_late)
+            });
+            let selected = match selected {
+                Ok(selected) => selected,
+                Err(not_run) => {
+                    let response =
+                        last_failure.unwrap_or_else(|| refusal_response(not_run, Duration::ZERO));
+                    return self.completion(response, &excluded, history.sent);
+                }
             };
             excluded.push(selected.upstream.clone());
             let may_repeat = history.sent + 1 < routed.route.max_attempts;
@@ -139,15 +145,17 @@
         &self,
         routed: &RoutedCall,
         excluded: &[UpstreamName],
-    ) -> Option<SelectedUpstream> {
+    ) -> Result<SelectedUpstream, NotRun> {
+        // The control thread ends only with the process.
+        let stopping = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY_AFTER);
         let (reply_tx, selection_rx) = async_channel::bounded(1);
         let event = ControlEvent::SelectUpstream {
             service: routed.service.clone(),
             excluded: excluded.to_vec(),
             reply_tx,
         };
-        self.events.send(event).await.ok()?;
-        selection_rx.recv().await.ok().flatten()
+        self.events.send(event).await.map_err(|_| stopping)?;
+        selection_rx.recv().await.unwrap_or(Err(stopping))
     }
 
     /// Sends the call to the selected upstream and reports the outcome to the
@@ -162,6 +170,7 @@
         let dispatch = Dispatch {
             address: selected.address,
             upstream: selected.upstream.clone(),
+            started: selected.started,
             version: None,
             time_left: routed.deadline.saturating_duration_since(now),
             rank: routed.route.rank,
@@ -212,6 +221,7 @@
             Err(SendError::NotSent { message, .. }) => return SendOutcome::Unreached(message),
             Err(SendError::Lost { message, .. }) => return SendOutcome::MayHaveRun(message),
         };
+        self.report_notice(&routed.service, dispatch, upstream_response.notice);
         let mut exchange = upstream_response.exchange;
         match upstream_response.execution_status {
             ExecutionStatus::RefusedFull | ExecutionStatus::Misdirected => SendOutcome::Refused,
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -8,7 +8,6 @@
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_serving::registry::ListedUpstream;
 use dogwoodshunt_types::ServiceName;
-use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Heartbeat;
 use dogwoodshunt_wire::frame::Identity;
@@ -87,6 +86,13 @@
                 continue;
             };
             if state.upstream.as_ref() != Some(*upstream) {
+                let known = state.upstream.as_ref();
+                let is_same_process =
+                    known.is_some_and(|u| u.name == upstream.name && u.started == upstream.started);
+                if !is_same_process {
+                    // Another process has not asked for a pause.
+                    self.router.set_paused_until(agent, None);
+                }
                 state.upstream = Some((*upstream).clone());
                 self.send_upstream_config(agent);
             }
@@ -278,10 +284,9 @@
         tx.is_some_and(|tx| tx.try_send(frame).is_ok())
     }
 
-    /// Returns the name and address of an agent's engine.
-    pub(super) fn engine_address(&self, agent: AgentKey) -> Option<(UpstreamName, SocketAddr)> {
-        let upstream = self.agents.get(&agent)?.upstream.as_ref()?;
-        Some((upstream.name.clone(), upstream.address))
+    /// Returns the listed identity and address of an agent's engine.
+    pub(super) fn engine_identity(&self, agent: AgentKey) -> Option<&ListedUpstream> {
+        self.agents.get(&agent)?.upstream.as_ref()
     }
 
     /// Returns the address of an agent as text; empty if the agent is unknown.
@@ -348,6 +353,7 @@
             upstream,
             engine,
             versions: self.declared_versions.values().cloned().collect(),
+            store_era: self.store_era,
         };
         self.send(agent, Frame::UpstreamConfig(Box::new(upstream_config)));
     }
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -2,10 +2,12 @@
 //!
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
 //! engines, `store` applies the records of the platform's store, `placement`
-//! places model requests on engines and `plain_service` selects upstreams of
+//! places model requests on engines, `notices` applies what upstreams announce in
+//! their responses, and `plain_service` selects upstreams of
 //! plain services, which have no engines.
 
 mod agents;
+mod notices;
 mod placement;
 mod plain_service;
 pub mod shared_state;
@@ -25,6 +27,7 @@
 use crate::metrics::Metrics;
 use crate::metrics::StoreOutcomeLabels;
 use crate::platform::RecordDecoder;
+use crate::platform::UpstreamNotice;
 use crate::watch::Topic;
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -39,12 +42,14 @@
 use dogwoodshunt_serving::UpstreamRegistry;
 use dogwoodshunt_serving::pool::CallEnd;
 use dogwoodshunt_types::AdapterName;
+use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::StoreEra;
+use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
-use dogwoodshunt_wire::frame::DeclaredVersion;
 use dogwoodshunt_wire::frame::Identity;
 use slog::Logger;
 use smol::Timer;
@@ -126,8 +131,8 @@
         service: ServiceName,
         /// Upstreams to which the call has already been sent.
         excluded: Vec<UpstreamName>,
-        /// Receives the selected upstream, or `None` if no other is available.
-        reply_tx: Sender<Option<SelectedUpstream>>,
+        /// Receives the selected upstream, or the refusal if no other is available.
+        reply_tx: Sender<Result<SelectedUpstream, NotRun>>,
     },
     /// A model request needs an engine.
     Place {
@@ -155,6 +160,17 @@
         /// together.
         retry_slack: f64,
     },
+    /// An upstream has announced something about itself in a response.
+    UpstreamNotice {
+        /// Service of the upstream.
+        service: ServiceName,
+        /// Name of the upstream.
+        upstream: UpstreamName,
+        /// Start time of the upstream process that the request was sent to.
+        started: UnixMillis,
+        /// The announcement.
+        notice: UpstreamNotice,
+    },
     /// The process has been told to stop.
     Stop,
     /// A request to the platform's store has succeeded.
@@ -205,7 +221,11 @@
     agents_by_address: HashMap<SocketAddr, AgentKey>,
     registry: UpstreamRegistry,
     pools: HashMap<ServiceName, UpstreamPool>,
-    declared_versions: HashMap<AdapterName, DeclaredVersion>,
+    declared_versions: HashMap<AdapterName, AdapterRef>,
+    /// Highest era of the store that a listing has shown.
+    store_era: StoreEra,
+    /// StoreEra of the store in which the configuration in force was read.
+    config_era: StoreEra,
     retry_budgets: RetryBudgets,
     pending: HashMap<PlacementId, PendingPlacement>,
     granted_runs: HashMap<PlacementId, GrantedRun>,
@@ -234,6 +254,8 @@
             registry: UpstreamRegistry::default(),
             pools: HashMap::new(),
             declared_versions: HashMap::new(),
+            store_era: 0,
+            config_era: 0,
             retry_budgets,
             pending: HashMap::new(),
             granted_runs: HashMap::new(),
@@ -309,6 +331,12 @@
                 retry_ratio,
                 retry_slack,
             } => self.retry_budgets.set_limits(retry_ratio, retry_slack),
+            ControlEvent::UpstreamNotice {
+                service,
+                upstream,
+                started,
+                notice,
+            } => self.on_upstream_notice(now, &service, &upstream, started, notice),
             ControlEvent::Stop => self.shutting_down = true,
             ControlEvent::StoreReachable(topic) => {
                 self.count_store_request(topic, "answered");
--- /dev/null
+++ b/crates/dogwoodshunt_gateway/src/control/notices.rs
@@ -0,0 +1,76 @@
+//! Announcements of upstreams in their responses: that they are leaving, or that they
+//! want no requests from this entry for some time.
+//!
+//! Both hold for one process of an upstream, whatever the list of upstreams says and
+//! however often connections to it are opened anew.
+
+use crate::control::Control;
+use crate::platform::RecordDecoder;
+use crate::platform::UpstreamNotice;
+use dogwoodshunt_routing::AgentKey;
+use dogwoodshunt_types::UnixMillis;
+use slog::info;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Longest pause that an upstream can ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(300);
+
+impl<D: RecordDecoder> Control<D> {
+    pub(super) fn on_upstream_notice(
+        &mut self,
+        now: Instant,
+        service: &str,
+        upstream: &str,
+        started: UnixMillis,
+        notice: UpstreamNotice,
+    ) {
+        if notice.leaving && self.registry.on_leaving_announced(upstream, started) {
+            info!(self.context.log, "upstream leaving"; "upstream" => upstream,
+                "source" => "its response");
+            let agent = self.agent_of_engine(upstream, started);
+            self.sync_upstreams(now);
+            agent
+                .into_iter()
+                .for_each(|agent| self.move_pending(now, agent));
+        }
+        if let Some(pause) = notice.pause {
+            self.pause_upstream(now, service, upstream, started, pause.min(MAX_PAUSE));
+        }
+    }
+
+    fn pause_upstream(
+        &mut self,
+        now: Instant,
+        service: &str,
+        upstream: &str,
+        started: UnixMillis,
+        pause: Duration,
+    ) {
+        info!(self.context.log, "upstream paused"; "upstream" => upstream,
+            "pause_ms" => pause.as_millis() as u64);
+        let until = now + pause;
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.pause(upstream, started, until);
+        }
+        let Some(agent) = self.agent_of_engine(upstream, started) else {
+            return;
+        };
+        let paused_until = self
+            .router
+            .agent(agent)
+            .and_then(|agent| agent.paused_until);
+        self.router
+            .set_paused_until(agent, paused_until.max(Some(until)));
+        self.move_pending(now, agent);
+    }
+
+    /// Returns the agent of the engine process `upstream` that started at `started`.
+    fn agent_of_engine(&self, upstream: &str, started: UnixMillis) -> Option<AgentKey> {
+        let is_engine = |agent: &AgentKey| {
+            let identity = self.engine_identity(*agent);
+            identity.is_some_and(|engine| *engine.name == *upstream && engine.started == started)
+        };
+        self.agents.keys().copied().find(is_engine)
+    }
+}
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -20,6 +20,7 @@
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Admit;
@@ -68,6 +69,8 @@
     pub upstream: UpstreamName,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Start time of the upstream process.
+    pub started: UnixMillis,
     /// Model or adapter version that is ready on the upstream.
     pub target: Target,
     /// Id of this attempt in the frames exchanged with the agent.
@@ -136,10 +139,7 @@
         let Some(name) = &req.adapter else {
             return Target::BaseModel(req.base_model.clone());
         };
-        let declared = self
-            .declared_versions
-            .get(name)
-            .map(|declared| declared.adapter.clone());
+        let declared = self.declared_versions.get(name).cloned();
         Target::Adapter {
             adapter: declared.unwrap_or_else(|| AdapterRef::new(name, DEFAULT_VERSION)),
             base_model: req.base_model.clone(),
@@ -210,21 +210,22 @@
         pending: PendingPlacement,
     ) {
         let agent = pending.agent;
-        let Some((upstream, address)) = self.engine_address(agent) else {
+        let Some(engine) = self.engine_identity(agent).cloned() else {
             self.try_next_agent(now, placement_id, pending);
             return;
         };
         let request = self.request_id(placement_id, pending.placement.attempt());
         let target = pending.placement.target.clone();
         info!(self.context.log, "granted unattended"; "request" => %request,
-            "upstream" => %upstream, "target" => %target);
+            "upstream" => %engine.name, "target" => %target);
         self.start_run(
             now,
             placement_id,
             pending,
             Grant {
-                upstream,
-                address,
+                upstream: engine.name,
+                address: engine.address,
+                started: engine.started,
                 target,
                 request,
             },
@@ -272,11 +273,12 @@
         let Some(pending) = self.pending.remove(&placement_id) else {
             return;
         };
-        let Some((_, address)) = self.engine_address(agent) else {
+        let Some(engine) = self.engine_identity(agent) else {
             self.send(agent, done_frame(request, false));
             self.try_next_agent(now, placement_id, pending);
             return;
         };
+        let (address, started) = (engine.address, engine.started);
         self.start_run(
             now,
             placement_id,
@@ -284,6 +286,7 @@
             Grant {
                 upstream,
                 address,
+                started,
                 target,
                 request,
             },
@@ -361,13 +364,7 @@
     /// Moves the placements that are pending at a disconnected agent to other
     /// agents.
     pub(super) fn reroute_pending(&mut self, now: Instant, agent: AgentKey) {
-        let at_agent = self
-            .pending
-            .iter()
-            .filter(|(_, pending)| pending.agent == agent);
-        let placement_ids: Vec<PlacementId> =
-            at_agent.map(|(placement_id, _)| *placement_id).collect();
-        for placement_id in placement_ids {
+        for placement_id in self.pending_at(agent) {
             if let Some(pending) = self.pending.remove(&placement_id) {
                 self.log_not_granted(now, placement_id, &pending, "agent disconnected");
                 self.try_next_agent(now, placement_id, pending);
@@ -375,6 +372,27 @@
         }
     }
 
+    /// Withdraws the placements that are pending at an agent whose engine wants no
+    /// more requests, and moves them to other agents.
+    pub(super) fn move_pending(&mut self, now: Instant, agent: AgentKey) {
+        for placement_id in self.pending_at(agent) {
+            if let Some(pending) = self.pending.remove(&placement_id) {
+                self.log_not_granted(now, placement_id, &pending, "engine wants no requests");
+                let request = self.request_id(placement_id, pending.placement.attempt());
+                self.send(agent, Frame::Cancel { request });
+                self.try_next_agent(now, placement_id, pending);
+            }
+        }
+    }
+
+    fn pending_at(&self, agent: AgentKey) -> Vec<PlacementId> {
+        let at_agent = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.agent == agent);
+        at_agent.map(|(placement_id, _)| *placement_id).collect()
+    }
+
     /// Sends a reconnected agent the runs that continue on its engine.
     pub(super) fn resend_granted_runs(&mut self, now: Instant, agent: AgentKey) {
         let runs = self.granted_runs.values().filter(|run| run.agent == agent);
--- a/crates/dogwoodshunt_gateway/src/control/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/control/plain_service.rs
@@ -5,7 +5,11 @@
 use crate::platform::RecordDecoder;
 use dogwoodshunt_routing::retry::RetryBudget;
 use dogwoodshunt_serving::pool::CallEnd;
+use dogwoodshunt_serving::pool::PickError;
+use dogwoodshunt_types::NotRun;
+use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -24,6 +28,9 @@
 /// entry that is cut off continues to use its own share.
 const ENTRY_COUNT_TTL: Duration = Duration::from_secs(30);
 
+/// Retry-after time sent to a caller while a service has no upstream.
+const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Upstream selected for a call of a plain service.
 #[derive(Clone, Debug)]
 pub struct SelectedUpstream {
@@ -31,6 +38,8 @@
     pub upstream: UpstreamName,
     /// Address of the upstream.
     pub address: SocketAddr,
+    /// Start time of the upstream process.
+    pub started: UnixMillis,
 }
 
 /// This entry's share of the retries that each service may receive.
@@ -104,18 +113,33 @@
 impl<D: RecordDecoder> Control<D> {
     /// Selects an upstream of a plain service that is not in `excluded`. The
     /// first selection for a call counts the call in the retry budget.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such upstream that takes calls; the error tells when one
+    /// may take them again.
     pub(super) fn select_upstream(
         &mut self,
         now: Instant,
         service: ServiceName,
         excluded: &[UpstreamName],
-    ) -> Option<SelectedUpstream> {
+    ) -> Result<SelectedUpstream, NotRun> {
         if excluded.is_empty() {
             self.retry_budgets.on_request(&service);
         }
-        let pool = self.pools.get_mut(&service)?;
-        let (upstream, address) = pool.pick(now, &self.settings.domain, excluded)?;
-        Some(SelectedUpstream { upstream, address })
+        let none_available = NotRun::new(NotRunReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER);
+        let pool = self.pools.get_mut(&service).ok_or(none_available)?;
+        match pool.pick(now, &self.settings.domain, excluded) {
+            Ok((upstream, member)) => Ok(SelectedUpstream {
+                upstream,
+                address: member.address,
+                started: member.started,
+            }),
+            Err(PickError::AllPaused { ends_in }) => {
+                Err(NotRun::new(NotRunReason::Paused, ends_in))
+            }
+            Err(PickError::NoUpstream) => Err(none_available),
+        }
     }
 
     pub(super) fn on_call_ended(
--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -11,15 +11,18 @@
 use dogwoodshunt_serving::Config;
 use dogwoodshunt_serving::config::RouteTable;
 use dogwoodshunt_serving::registry::ListedUpstream;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::StoreEra;
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
-use dogwoodshunt_wire::frame::DeclaredVersion;
 use slog::info;
 use slog::warn;
 use std::time::Instant;
 
 impl<D: RecordDecoder> Control<D> {
     pub(super) fn on_store_listed(&mut self, now: Instant, topic: Topic, listing: &Listing) {
+        let era = listing.position.era;
+        self.on_store_era(era);
         match topic {
             Topic::Operator => {
                 for record in &listing.records {
@@ -31,14 +34,23 @@
                 let listed = records.filter_map(|record| self.decode_upstream(record));
                 let listed: Vec<ListedUpstream> = listed.collect();
                 info!(self.context.log, "upstreams listed"; "count" => listed.len(),
-                    "revision" => listing.revision);
-                self.registry.on_full_list(now, listed);
+                    "revision" => listing.position.revision, "era" => era);
+                self.registry.on_full_list(now, era, listed);
                 self.context.shared_state.set_upstreams_known();
             }
         }
         self.sync_upstreams(now);
     }
 
+    /// Notes the era of a listing. Agents verify after a restore that they still own their
+    /// engines.
+    fn on_store_era(&mut self, era: StoreEra) {
+        if era > self.store_era {
+            self.store_era = era;
+            self.send_upstream_config_to_all();
+        }
+    }
+
     pub(super) fn on_store_changed(&mut self, now: Instant, topic: Topic, changes: Vec<KeyChange>) {
         for change in changes {
             match (topic, change) {
@@ -67,7 +79,7 @@
 
     fn on_operator_record(&mut self, record: &Record) {
         match self.decoder.decode(record) {
-            DecodedRecord::Config(config) => self.on_config(*config),
+            DecodedRecord::Config(config) => self.on_config(record.era, *config),
             DecodedRecord::Version(declared) => self.on_version_declared(declared),
             DecodedRecord::Unreadable(reason) => {
                 warn!(self.context.log, "record not read"; "key" => %record.key, "why" => %reason);
@@ -81,17 +93,26 @@
 
     /// Puts a configuration in force if its revision is newer than that of the
     /// configuration in force.
-    fn on_config(&mut self, config: Config) {
+    ///
+    /// A restored store lists an older configuration until operators have written the newest one
+    /// again; the newest one stays in force meanwhile. If a restore discarded a configuration,
+    /// another one may be written under the same revision.
+    fn on_config(&mut self, era: StoreEra, config: Config) {
         let route_table = self.context.shared_state.routes();
-        let current_revision = route_table.map_or(0, |route_table| route_table.config().revision);
-        if config.revision <= current_revision {
+        let current = route_table.as_ref().map(|route_table| route_table.config());
+        let current_revision = current.map_or(0, |current| current.revision);
+        let replaces_discarded = era > self.config_era && current != Some(&config);
+        if config.revision < current_revision
+            || (config.revision == current_revision && !replaces_discarded)
+        {
             return;
         }
+        self.config_era = era;
         info!(self.context.log, "config in force"; "revision" => config.revision,
             "before" => current_revision, "routes" => config.routes.len());
         let is_newer = invariant::check(
             Invariant::RevisionNeverReverts,
-            config.revision > current_revision,
+            config.revision >= current_revision,
             &format_args!("{} after {current_revision}", config.revision),
         );
         if is_newer {
@@ -104,15 +125,18 @@
         }
     }
 
-    fn on_version_declared(&mut self, declared: DeclaredVersion) {
-        let current = self.declared_versions.get(&declared.adapter.name);
-        if current.is_some_and(|current| current.revision >= declared.revision) {
+    /// Applies a declared version unless a newer one of the adapter is known.
+    ///
+    /// Versions are compared with each other and not by the revisions of their records: a
+    /// restored store lists an older version at a later position.
+    fn on_version_declared(&mut self, declared: AdapterRef) {
+        let current = self.declared_versions.get(&declared.name);
+        if current.is_some_and(|current| !declared.replaces(current)) {
             return;
         }
-        info!(self.context.log, "version declared"; "adapter" => %declared.adapter,
-            "revision" => declared.revision);
-        let name = declared.adapter.name.clone();
-        self.declared_versions.insert(name, declared);
+        info!(self.context.log, "version declared"; "adapter" => %declared);
+        self.declared_versions
+            .insert(declared.name.clone(), declared);
         self.send_upstream_config_to_all();
     }
 
@@ -142,8 +166,7 @@
             }
             let pool = self.pools.entry(service.name.clone()).or_default();
             for upstream in of_service {
-                let (address, domain) = (upstream.address, &upstream.domain);
-                pool.upsert(&upstream.name, address, domain, upstream.leaving);
+                pool.upsert(upstream);
             }
             let is_listed = |name: &str| listed.iter().any(|l| *l.name == *name);
             pool.retain(is_listed);
--- a/crates/dogwoodshunt_gateway/src/platform.rs
+++ b/crates/dogwoodshunt_gateway/src/platform.rs
@@ -6,9 +6,10 @@
 use dogwoodshunt_border::kv::Record;
 use dogwoodshunt_serving::Config;
 use dogwoodshunt_serving::registry::ListedUpstream;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::Version;
-use dogwoodshunt_wire::frame::DeclaredVersion;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -21,7 +22,7 @@
     /// Upstream in the list of upstreams.
     Upstream(ListedUpstream),
     /// Version that operators have declared for an adapter.
-    Version(DeclaredVersion),
+    Version(AdapterRef),
     /// Record that this release of the entry cannot decode, with the reason.
     Unreadable(Box<str>),
 }
@@ -49,6 +50,8 @@
     /// Name of the upstream that must run the call; an upstream with another
     /// name refuses the call.
     pub upstream: UpstreamName,
+    /// Start time of the upstream process, as listed.
+    pub started: UnixMillis,
     /// Adapter version that must run the call; `None` for base models and plain
     /// services.
     pub version: Option<Version>,
@@ -89,10 +92,21 @@
     }
 }
 
+/// What an upstream announces about itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct UpstreamNotice {
+    /// Whether the upstream is leaving and wants no new requests.
+    pub leaving: bool,
+    /// Time for which the upstream wants no further requests from this entry.
+    pub pause: Option<Duration>,
+}
+
 /// Response of an upstream whose head has been read and whose body has not.
 pub struct UpstreamResponse {
     /// Whether the upstream executes the call.
     pub execution_status: ExecutionStatus,
+    /// What the upstream announces about itself.
+    pub notice: UpstreamNotice,
     /// Exchange from which the body of the response is read.
     pub exchange: Exchange,
 }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -1,6 +1,9 @@
 //! Tests of the control state, without network connections.
 
+mod notices;
 mod overview;
+mod restore;
+mod sse;
 
 use crate::control::Control;
 use crate::control::ControlContext;
@@ -18,6 +21,7 @@
 use dogwoodshunt_border::kv::KeyChange;
 use dogwoodshunt_border::kv::Listing;
 use dogwoodshunt_border::kv::Record;
+use dogwoodshunt_border::kv::StorePosition;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
@@ -43,7 +47,6 @@
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Admit;
-use dogwoodshunt_wire::frame::DeclaredVersion;
 use dogwoodshunt_wire::frame::EngineConfig;
 use dogwoodshunt_wire::frame::Heartbeat;
 use dogwoodshunt_wire::frame::Identity;
@@ -66,10 +69,7 @@
         let words: Vec<&str> = text.split(' ').collect();
         match words[..] {
             ["config", number] => DecodedRecord::Config(Box::new(config(number.parse().unwrap()))),
-            ["version", adapter] => DecodedRecord::Version(DeclaredVersion {
-                adapter: AdapterRef::parse(adapter).unwrap(),
-                revision: u64::try_from(record.mod_revision).unwrap(),
-            }),
+            ["version", adapter] => DecodedRecord::Version(AdapterRef::parse(adapter).unwrap()),
             ["upstream", service, host, state] => DecodedRecord::Upstream(ListedUpstream {
                 name: self.upstream_name(&record.key),
                 service: service.into(),
@@ -180,7 +180,10 @@
             topic: Topic::Upstreams,
             listing: Listing {
                 records,
-                revision: 1,
+                position: StorePosition {
+                    era: 0,
+                    revision: 1,
+                },
             },
         });
         for agent in entry.control.agent_keys() {
@@ -280,7 +283,7 @@
         self.handle(ControlEvent::Frame { agent, frame });
     }
 
-    fn select_upstream(&mut self) -> Option<SelectedUpstream> {
+    fn select_upstream(&mut self) -> Result<SelectedUpstream, NotRun> {
         let (reply_tx, selection_rx) = async_channel::bounded(1);
         self.handle(ControlEvent::SelectUpstream {
             service: "records".into(),
@@ -311,6 +314,7 @@
         key: key.into(),
         value: value.into(),
         mod_revision,
+        era: 0,
     }
 }
 
@@ -534,9 +538,9 @@
 #[test]
 fn leaving_upstreams_receive_no_calls_or_runs() {
     let mut entry = TestEntry::new();
-    assert!(entry.select_upstream().is_some());
+    assert!(entry.select_upstream().is_ok());
     entry.put_record(Topic::Upstreams, "up/plain-1", "upstream records 9 leaving");
-    assert!(entry.select_upstream().is_none());
+    assert!(entry.select_upstream().is_err());
     entry.put_record(Topic::Upstreams, "up/engine-1", "upstream models 1 leaving");
     entry.put_record(Topic::Upstreams, "up/engine-2", "upstream models 2 leaving");
     let (_, grant_rx) = entry.place("a");
@@ -554,7 +558,7 @@
         topic: Topic::Upstreams,
         changes: vec![change],
     });
-    assert!(entry.select_upstream().is_none());
+    assert!(entry.select_upstream().is_err());
 }
 
 #[test]
@@ -564,7 +568,7 @@
         let mut entry = TestEntry::new();
         let agent = entry.agents[0].0;
         entry.receive_heartbeat(agent, |heartbeat| heartbeat.connected_entries = entries);
-        entry.select_upstream();
+        entry.select_upstream().unwrap();
         let allowed = (0..20).filter(|_| entry.may_retry()).count();
         assert_eq!(allowed, expected_retries, "{entries} entries");
     }
--- a/crates/dogwoodshunt_gateway/src/watch.rs
+++ b/crates/dogwoodshunt_gateway/src/watch.rs
@@ -4,13 +4,15 @@
 //! A prefix is listed once and watched from then on. Each watch request resumes
 //! after the last change received, not at the store's present revision: a store
 //! that delivers no changes for a while may still have applied some. If the store
-//! has compacted the revisions after that change, the prefix is listed again.
+//! has compacted the revisions after that change, or was restored from an older
+//! copy since, the prefix is listed again.
 
 use crate::control::ControlEvent;
 use async_channel::Sender;
 use dogwoodshunt_border::kv::KeyChange;
 use dogwoodshunt_border::kv::KvError;
 use dogwoodshunt_border::kv::Listing;
+use dogwoodshunt_border::kv::StorePosition;
 use dogwoodshunt_border::kv::WatchKv;
 use dogwoodshunt_border::kv::WatchOutcome;
 use rand::RngExt;
@@ -76,8 +78,11 @@
             let Some(listing) = self.report_result(listed, &mut failures).await else {
                 continue;
             };
-            let newest = listing.records.iter().map(|record| record.mod_revision);
-            let mut after = newest.fold(listing.revision, i64::max);
+            let mut after = listing.position;
+            advance(
+                &mut after,
+                listing.records.iter().map(|record| record.mod_revision),
+            );
             if !self.send_listing(listing).await {
                 return;
             }
@@ -88,15 +93,20 @@
                     .await;
                 match self.report_result(watched, &mut failures).await {
                     Some(WatchOutcome::Changes(changes)) => {
-                        let newest = changes.iter().map(KeyChange::revision);
-                        after = newest.fold(after, i64::max);
+                        advance(&mut after, changes.iter().map(KeyChange::revision));
                         if !changes.is_empty() && !self.send_changes(changes).await {
                             return;
                         }
                     }
                     Some(WatchOutcome::Compacted) => {
                         info!(self.log, "requested revision compacted, listing the prefix again";
-                            "topic" => ?self.topic, "after" => after);
+                            "topic" => ?self.topic, "after" => after.revision);
+                        break;
+                    }
+                    Some(WatchOutcome::Restored { era }) => {
+                        warn!(self.log, "store restored from an older copy, listing the prefix again";
+                            "topic" => ?self.topic, "after" => after.revision,
+                            "era" => era, "before" => after.era);
                         break;
                     }
                     None => {}
@@ -151,3 +161,8 @@
         self.events.send(event).await.is_ok()
     }
 }
+
+/// Advances `position` to the highest of the given revisions of its era.
+fn advance(position: &mut StorePosition, revisions: impl Iterator<Item = i64>) {
+    position.revision = revisions.fold(position.revision, i64::max);
+}
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -55,6 +55,8 @@
     /// Whether the agent accepts no new requests, as announced by the agent itself
     /// or listed by the platform.
     pub leaving: bool,
+    /// Time until which the engine of the agent wants no requests from this entry.
+    pub paused_until: Option<Instant>,
     /// Whether the engine of the agent is reachable although the agent is not.
     /// Such an engine serves only the adapters that are already loaded, since only
     /// the agent can load another one.
@@ -82,6 +84,7 @@
             domain: FailureDomain::default(),
             usable: false,
             leaving: false,
+            paused_until: None,
             unattended: false,
             report: None,
             in_flight: 0,
@@ -226,6 +229,11 @@
         (self.usable || self.unattended) && !self.leaving
     }
 
+    /// Returns whether the engine has asked for a pause that has not ended.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| until > now)
+    }
+
     /// Records an attempt that is sent to the agent.
     pub fn begin_attempt(&mut self, target: &Target) {
         self.in_flight += 1;
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -143,6 +143,7 @@
         | NotRunReason::LoadFailed
         | NotRunReason::NoUpstream
         | NotRunReason::Overloaded
+        | NotRunReason::Paused
         | NotRunReason::Stale => true,
         NotRunReason::Cancelled
         | NotRunReason::Deadline
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -133,6 +133,14 @@
         }
     }
 
+    /// Sets until when the engine of the agent wants no requests from this entry; `None` ends a
+    /// pause, such as after a restart of the engine.
+    pub fn set_paused_until(&mut self, key: AgentKey, until: Option<Instant>) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.paused_until = until;
+        }
+    }
+
     /// Sets whether the engine of the agent is reachable although the agent is not.
     pub fn set_unattended(&mut self, key: AgentKey, unattended: bool) {
         if let Some(agent) = self.agents.get_mut(key) {
@@ -182,7 +190,7 @@
     /// which the caller may try again.
     pub fn route(&mut self, now: Instant, req: &RouteRequest<'_>) -> Result<AgentKey, NotRun> {
         let chosen = self.choose(now, req);
-        let key = chosen.ok_or(NotRun::new(NotRunReason::NoUpstream, NO_AGENT_RETRY_AFTER))?;
+        let key = chosen.ok_or_else(|| self.no_agent_refusal(now, req))?;
         self.check_deadline(now, req, key)?;
         let agent = &mut self.agents[key];
         let accepts_requests = invariant::check(
@@ -230,26 +238,48 @@
             Policy::Cost => self.cheapest(now, req),
             Policy::LeastLoaded => self.least_loaded(now, req),
             Policy::Random => {
-                let eligible: Vec<AgentKey> = self.eligible(req).collect();
+                let eligible: Vec<AgentKey> = self.eligible(now, req).collect();
                 let index = self.rng.random_range(0..eligible.len().max(1));
                 eligible.get(index).copied()
             }
-            Policy::Rendezvous => self.homes(req, 1).first().copied(),
+            Policy::Rendezvous => self.homes(now, req, 1).first().copied(),
         }
     }
 
+    /// Returns the refusal of a request for which there is no eligible agent. If engines that
+    /// could run it have asked for a pause, the caller may return when the first pause ends.
+    fn no_agent_refusal(&self, now: Instant, req: &RouteRequest<'_>) -> NotRun {
+        let able = self.agents.iter();
+        let able = able.filter(|(key, agent)| self.can_run(*key, agent, req));
+        let pause_ends = able.filter_map(|(_, agent)| agent.paused_until);
+        match pause_ends.filter(|until| *until > now).min() {
+            Some(until) => NotRun::new(NotRunReason::Paused, until.saturating_duration_since(now)),
+            None => NotRun::new(NotRunReason::NoUpstream, NO_AGENT_RETRY_AFTER),
+        }
+    }
+
+    /// Returns whether the agent can run `req`, apart from a pause, and is not excluded.
+    fn can_run(&self, key: AgentKey, agent: &Agent, req: &RouteRequest<'_>) -> bool {
+        let is_admissible = !agent.unattended || agent.accepts_unattended(req.target);
+        is_admissible
+            && agent.accepts_requests()
+            && agent.serves(req.target)
+            && !req.excluded.contains(&key)
+    }
+
     /// Returns whether the agent can run `req` now and is not excluded.
-    fn is_eligible(&self, key: AgentKey, req: &RouteRequest<'_>) -> bool {
+    fn is_eligible(&self, now: Instant, key: AgentKey, req: &RouteRequest<'_>) -> bool {
         let agent = self.agents.get(key);
-        let can_run = agent.is_some_and(|agent| {
-            let is_admissible = !agent.unattended || agent.accepts_unattended(req.target);
-            is_admissible && agent.accepts_requests() && agent.serves(req.target)
-        });
-        can_run && !req.excluded.contains(&key)
+        agent.is_some_and(|agent| !agent.is_paused(now) && self.can_run(key, agent, req))
     }
 
-    fn eligible<'a>(&'a self, req: &'a RouteRequest<'_>) -> impl Iterator<Item = AgentKey> + 'a {
-        self.agents.keys().filter(|key| self.is_eligible(*key, req))
+    fn eligible<'a>(
+        &'a self,
+        now: Instant,
+        req: &'a RouteRequest<'_>,
+    ) -> impl Iterator<Item = AgentKey> + 'a {
+        let keys = self.agents.keys();
+        keys.filter(move |key| self.is_eligible(now, *key, req))
     }
 
     /// Returns the agent with the lowest estimated cost among the home agents and
@@ -258,14 +288,14 @@
     /// Falls back to the first home agent if the load of every candidate is
     /// unknown.
     fn cheapest(&self, now: Instant, req: &RouteRequest<'_>) -> Option<AgentKey> {
-        let mut candidates = self.homes(req, self.settings.homes);
+        let mut candidates = self.homes(now, req, self.settings.homes);
         let first_home = candidates.first().copied();
         let agents_with_adapter = req
             .target
             .adapter()
             .map(|adapter| self.adapter_index.agents_with(adapter));
         for key in agents_with_adapter.into_iter().flatten() {
-            if !candidates.contains(&key) && self.is_eligible(key, req) {
+            if !candidates.contains(&key) && self.is_eligible(now, key, req) {
                 candidates.push(key);
             }
         }
@@ -314,16 +344,16 @@
                 cost::AgentLoad::estimate(now, &self.agents[*key], req.target, &self.settings);
             load.map_or(f64::MAX, |load| load.requests / load.batch_size)
         };
-        self.eligible(req)
+        self.eligible(now, req)
             .min_by(|a, b| requests_per_place(a).total_cmp(&requests_per_place(b)))
     }
 
     /// Returns the first `count` eligible agents by rendezvous hashing, in
     /// descending order of weight.
-    fn homes(&self, req: &RouteRequest<'_>, count: usize) -> Vec<AgentKey> {
+    fn homes(&self, now: Instant, req: &RouteRequest<'_>, count: usize) -> Vec<AgentKey> {
         let hash_key = req.target.to_string();
         let mut homes: Vec<(u64, AgentKey)> = Vec::with_capacity(count + 1);
-        for key in self.eligible(req) {
+        for key in self.eligible(now, req) {
             let weight = rendezvous::weight(&hash_key, &self.agents[key].node);
             let rank = homes.partition_point(|(higher, _)| *higher >= weight);
             if rank < count {
--- a/crates/dogwoodshunt_runtime/src/ownership.rs
+++ b/crates/dogwoodshunt_runtime/src/ownership.rs
@@ -53,29 +53,36 @@
     /// Takes over the upstreams, then verifies the ownership for each message from
     /// `verify_requests`. Ends when the ownership is lost or `verify_requests` is closed.
     pub async fn run(self, verify_requests: Receiver<()>) {
-        let epoch = self.take_over().await;
-        let first_epoch = 1;
-        if epoch > first_epoch {
+        let mut held = self.take_over().await;
+        if !held.owner.predecessors.is_empty() {
             // A predecessor that still runs stops sending orders within this time.
             Timer::after(self.predecessor_timeout).await;
         }
-        self.send_event(Ownership::Owned { epoch }).await;
+        self.send_event(Ownership::Owned { epoch: held.epoch })
+            .await;
         while verify_requests.recv().await.is_ok() {
-            if !self.still_owned().await {
-                warn!(self.log, "superseded"; "epoch" => epoch);
+            let Some(confirmed) = self.verify(&held).await else {
+                warn!(self.log, "superseded"; "epoch" => held.epoch);
                 self.send_event(Ownership::Superseded).await;
                 return;
+            };
+            if confirmed.epoch != held.epoch {
+                info!(self.log, "upstreams taken over again"; "epoch" => confirmed.epoch,
+                    "before" => held.epoch, "era" => confirmed.era);
             }
-            self.send_event(Ownership::Owned { epoch }).await;
+            held = confirmed;
+            self.send_event(Ownership::Owned { epoch: held.epoch })
+                .await;
         }
     }
 
-    async fn take_over(&self) -> Epoch {
+    async fn take_over(&self) -> ownership::Ownership {
         loop {
             match ownership::take_over(self.kv.as_ref(), &self.node, self.boot).await {
-                Ok(epoch) => {
-                    info!(self.log, "upstreams taken over"; "epoch" => epoch);
-                    return epoch;
+                Ok(held) => {
+                    info!(self.log, "upstreams taken over"; "epoch" => held.epoch,
+                        "era" => held.era);
+                    return held;
                 }
                 Err(error) => warn!(self.log, "takeover of upstreams failed"; "error" => %error),
             }
@@ -83,10 +90,11 @@
         }
     }
 
-    async fn still_owned(&self) -> bool {
+    /// Verifies the ownership; returns `None` if it was lost to another process.
+    async fn verify(&self, held: &ownership::Ownership) -> Option<ownership::Ownership> {
         loop {
-            match ownership::is_owner(self.kv.as_ref(), &self.node, self.boot).await {
-                Ok(is_owner) => return is_owner,
+            match ownership::verify(self.kv.as_ref(), &self.node, held).await {
+                Ok(confirmed) => return confirmed,
                 Err(error) => warn!(self.log, "verify ownership failed"; "error" => %error),
             }
             Timer::after(retry_delay()).await;
--- a/crates/dogwoodshunt_serving/src/admission.rs
+++ b/crates/dogwoodshunt_serving/src/admission.rs
@@ -31,6 +31,9 @@
 /// Maximum retry delay sent to a refused caller, before jitter.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Longest time over which the callers that return after a pause are spread.
+const MAX_PAUSE_SPREAD: Duration = Duration::from_secs(1);
+
 /// Returns how long a caller of `route` waits for the first byte, given the
 /// `time_left` until the deadline of the request.
 ///
@@ -66,6 +69,15 @@
     }
 }
 
+/// Returns the retry delay for a caller who was refused because all upstreams have asked for a
+/// pause: the time until the first pause ends, spread by `jitter`, a random number from 0 to 1,
+/// over the next half of that time or 1 s, whichever is shorter.
+pub fn retry_after_pause(pause_left: Duration, jitter: f64) -> Duration {
+    let pause_left = pause_left.max(MIN_RETRY_AFTER);
+    let spread = (pause_left / 2).min(MAX_PAUSE_SPREAD);
+    pause_left + spread.mul_f64(jitter.clamp(0.0, 1.0))
+}
+
 /// Returns the retry delay for a refused caller: the time until the `expected_wait`
 /// has shrunk to the `useful_wait`, within fixed bounds.
 ///
--- a/crates/dogwoodshunt_serving/src/pool.rs
+++ b/crates/dogwoodshunt_serving/src/pool.rs
@@ -4,7 +4,9 @@
 //! entries that do not know of each other's calls, and upstreams that appear
 //! healthy but fail some of their calls.
 
+use crate::registry::ListedUpstream;
 use dogwoodshunt_types::FailureDomain;
+use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,10 +30,15 @@
 
 /// One upstream of a pool.
 #[derive(Clone, Debug)]
-struct PoolMember {
-    address: SocketAddr,
+pub struct PoolMember {
+    /// Address of the upstream.
+    pub address: SocketAddr,
     domain: FailureDomain,
     leaving: bool,
+    /// Start time of the upstream process, which distinguishes restarts.
+    pub started: UnixMillis,
+    /// Time until which the upstream wants no calls from this entry.
+    paused_until: Option<Instant>,
     in_flight: u32,
     /// Failure rate at `last_outcome_at`, from 0 to 1.
     failure_rate: f64,
@@ -49,6 +56,18 @@
     }
 }
 
+/// Reason why no upstream can be chosen for a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PickError {
+    /// All upstreams that could be chosen have asked for a pause.
+    AllPaused {
+        /// Time until the first of these pauses ends.
+        ends_in: Duration,
+    },
+    /// Every upstream is leaving or excluded, or there is none.
+    NoUpstream,
+}
+
 /// How a call to an upstream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallEnd {
@@ -69,21 +88,37 @@
 }
 
 impl UpstreamPool {
-    /// Adds an upstream, or updates the address and state of a known one.
-    pub fn upsert(&mut self, name: &str, address: SocketAddr, domain: &str, leaving: bool) {
+    /// Adds an upstream, or updates the address and state of a known one. A restarted upstream
+    /// has forgotten that it asked for a pause.
+    pub fn upsert(&mut self, listed: &ListedUpstream) {
         let member = self
             .members
-            .entry(name.into())
+            .entry(listed.name.clone())
             .or_insert_with(|| PoolMember {
-                address,
-                domain: domain.into(),
-                leaving,
+                address: listed.address,
+                domain: listed.domain.clone(),
+                leaving: listed.leaving,
+                started: listed.started,
+                paused_until: None,
                 in_flight: 0,
                 failure_rate: 0.0,
                 last_outcome_at: None,
             });
-        member.address = address;
-        member.leaving = leaving;
+        member.address = listed.address;
+        member.leaving = listed.leaving;
+        if member.started != listed.started {
+            member.started = listed.started;
+            member.paused_until = None;
+        }
+    }
+
+    /// Gives the upstream no calls until `until`, as the process that started at `started` has
+    /// asked. A shorter pause does not end a longer one.
+    pub fn pause(&mut self, name: &str, started: UnixMillis, until: Instant) {
+        let member = self.members.get_mut(name);
+        if let Some(member) = member.filter(|member| member.started == started) {
+            member.paused_until = member.paused_until.max(Some(until));
+        }
     }
 
     /// Removes the upstreams for which `is_listed` returns false.
@@ -105,14 +140,19 @@
     /// call as in flight.
     ///
     /// The upstream with the fewest calls in flight is chosen, where a failure rate
-    /// and a different failure domain count as additional calls. Leaving upstreams and
-    /// those in `excluded` are never chosen.
+    /// and a different failure domain count as additional calls. Upstreams that are leaving,
+    /// have asked for a pause or are in `excluded` are never chosen.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such upstream. If all others have asked for a pause, the error holds
+    /// the time until the first pause ends.
     pub fn pick(
         &mut self,
         now: Instant,
         domain: &str,
         excluded: &[UpstreamName],
-    ) -> Option<(UpstreamName, SocketAddr)> {
+    ) -> Result<(UpstreamName, &PoolMember), PickError> {
         let cost = |member: &PoolMember| {
             let domain_cost = if *member.domain == *domain {
                 0.0
@@ -126,10 +166,22 @@
         let candidates = self.members.iter_mut();
         let candidates =
             candidates.filter(|(name, member)| !member.leaving && !excluded.contains(name));
-        let cheapest = candidates.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
-        let (name, member) = cheapest?;
+        let (paused, ready): (Vec<_>, Vec<_>) =
+            candidates.partition(|(_, member)| member.paused_until.is_some_and(|at| at > now));
+        let cheapest = ready
+            .into_iter()
+            .min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
+        let Some((name, member)) = cheapest else {
+            let first_end = paused.iter().filter_map(|(_, member)| member.paused_until);
+            return Err(match first_end.min() {
+                Some(until) => PickError::AllPaused {
+                    ends_in: until.saturating_duration_since(now),
+                },
+                None => PickError::NoUpstream,
+            });
+        };
         member.in_flight += 1;
-        Some((name.clone(), member.address))
+        Ok((name.clone(), member))
     }
 
     /// Records the end of a call that [`UpstreamPool::pick`] has counted.
--- a/crates/dogwoodshunt_serving/src/registry.rs
+++ b/crates/dogwoodshunt_serving/src/registry.rs
@@ -1,7 +1,13 @@
-//! The upstreams that the platform's store lists, with tolerance for store outages.
+//! The upstreams that the platform's store lists, with tolerance for store outages and for
+//! restores of the store from an older copy.
+//!
+//! What an upstream has announced holds until its process ends: a later record that lists the
+//! process as not leaving is out of date, and so is a record of a process that was removed before
+//! a restore.
 
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::StoreEra;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use std::collections::BTreeMap;
@@ -13,6 +19,10 @@
 /// records expired during the outage list themselves again.
 const RELIST_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Time for which a removal is remembered: longer than a restored store keeps the records of
+/// upstreams that have ended.
+const REMOVAL_MEMORY: Duration = Duration::from_secs(60);
+
 /// An upstream as the store lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ListedUpstream {
@@ -40,6 +50,15 @@
     expires_at: Option<Instant>,
 }
 
+/// Process of an upstream whose record was removed from the store.
+#[derive(Clone, Copy, Debug)]
+struct RemovedUpstream {
+    started: UnixMillis,
+    removed_at: Instant,
+    /// StoreEra of the store in which the record was removed.
+    era: StoreEra,
+}
+
 /// The known upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
@@ -48,6 +67,9 @@
     /// When the store last became available again.
     store_recovered_at: Option<Instant>,
     store_unavailable: bool,
+    /// Highest era of the store of which a list was read.
+    era: StoreEra,
+    removed: BTreeMap<UpstreamName, RemovedUpstream>,
 }
 
 impl UpstreamRegistry {
@@ -73,14 +95,24 @@
         }
     }
 
-    /// Applies the complete list: adds and updates the listed upstreams, and handles
-    /// all others as [`UpstreamRegistry::on_upstream_removed`] does.
-    pub fn on_full_list(&mut self, now: Instant, listed: Vec<ListedUpstream>) {
+    /// Applies the complete list that was read in `era` of the store: adds and updates the listed
+    /// upstreams, and handles all others as [`UpstreamRegistry::on_upstream_removed`] does.
+    ///
+    /// The first list after a restore lacks upstreams that registered since the copy was made; they
+    /// are kept like those that are missing after an outage. It contains upstreams that were
+    /// removed since; these stay removed until they write their record again.
+    pub fn on_full_list(&mut self, now: Instant, era: StoreEra, listed: Vec<ListedUpstream>) {
+        if self.fully_listed && era > self.era {
+            self.store_recovered_at = Some(now);
+        }
+        self.era = self.era.max(era);
         self.fully_listed = true;
         let listed_names: Vec<UpstreamName> = listed.iter().map(|l| l.name.clone()).collect();
-        listed
-            .into_iter()
-            .for_each(|listed| self.on_upstream_listed(listed));
+        for listed in listed {
+            if !self.was_removed_before_restore(&listed) {
+                self.on_upstream_listed(listed);
+            }
+        }
         let missing: Vec<UpstreamName> = self
             .known
             .keys()
@@ -92,8 +124,19 @@
             .for_each(|name| self.on_upstream_removed(now, name));
     }
 
-    /// Adds or updates one listed upstream.
-    pub fn on_upstream_listed(&mut self, listed: ListedUpstream) {
+    fn was_removed_before_restore(&self, listed: &ListedUpstream) -> bool {
+        let removed = self.removed.get(&listed.name);
+        removed.is_some_and(|removed| removed.started == listed.started && removed.era < self.era)
+    }
+
+    /// Adds or updates one upstream that has written its record.
+    pub fn on_upstream_listed(&mut self, mut listed: ListedUpstream) {
+        self.removed.remove(&listed.name);
+        let known = self.known.get(&listed.name);
+        listed.leaving |= known.is_some_and(|known| {
+            let is_same_process = known.listed.started == listed.started && listed.started != 0;
+            is_same_process && known.listed.leaving
+        });
         let known = KnownUpstream {
             listed,
             expires_at: None,
@@ -101,6 +144,16 @@
         self.known.insert(known.listed.name.clone(), known);
     }
 
+    /// Marks the upstream process that started at `started` as leaving, since it has said so
+    /// itself. Returns whether that was new.
+    pub fn on_leaving_announced(&mut self, name: &str, started: UnixMillis) -> bool {
+        let known = self.known.get_mut(name);
+        let Some(known) = known.filter(|known| known.listed.started == started) else {
+            return false;
+        };
+        !std::mem::replace(&mut known.listed.leaving, true)
+    }
+
     /// Removes an upstream that is no longer listed.
     ///
     /// Within 2 s after the store has become available again, the upstream is kept
@@ -116,18 +169,34 @@
                     known.expires_at.get_or_insert(expires_at);
                 }
             }
-            None => {
-                self.known.remove(name);
-            }
+            None => self.remove(now, name),
         }
     }
 
+    fn remove(&mut self, now: Instant, name: &str) {
+        let Some((name, known)) = self.known.remove_entry(name) else {
+            return;
+        };
+        self.removed.retain(|_, removed| {
+            now.saturating_duration_since(removed.removed_at) < REMOVAL_MEMORY
+        });
+        let removed = RemovedUpstream {
+            started: known.listed.started,
+            removed_at: now,
+            era: self.era,
+        };
+        self.removed.insert(name, removed);
+    }
+
     /// Drops the upstreams that were not listed again in time after a store outage,
     /// and returns whether there were any.
     pub fn drop_expired(&mut self, now: Instant) -> bool {
-        let count_before = self.known.len();
-        self.known
-            .retain(|_, known| known.expires_at.is_none_or(|expires_at| expires_at > now));
-        self.known.len() < count_before
+        let is_expired =
+            |known: &KnownUpstream| known.expires_at.is_some_and(|expires_at| expires_at <= now);
+        let known = self.known.iter();
+        let expired = known.filter(|(_, known)| is_expired(known));
+        let expired: Vec<UpstreamName> = expired.map(|(name, _)| name.clone()).collect();
+        expired.iter().for_each(|name| self.remove(now, name));
+        !expired.is_empty()
     }
 }
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -10,6 +10,7 @@
 use crate::config::RouteTable;
 use crate::config::WeightedService;
 use crate::pool::CallEnd;
+use crate::pool::PickError;
 use crate::registry::ListedUpstream;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -124,7 +125,7 @@
     let now = Instant::now();
     let mut registry = UpstreamRegistry::default();
     registry.on_store_available(now);
-    registry.on_full_list(now, vec![listed_upstream("a"), listed_upstream("b")]);
+    registry.on_full_list(now, 0, vec![listed_upstream("a"), listed_upstream("b")]);
     registry.on_upstream_removed(now, "a");
     assert_eq!(upstream_names(&registry), ["b"]);
 }
@@ -135,12 +136,13 @@
     let mut registry = UpstreamRegistry::default();
     registry.on_full_list(
         now,
+        0,
         vec![listed_upstream("relisted"), listed_upstream("missing")],
     );
     registry.on_store_unavailable();
     let recovered_at = now + Duration::from_secs(5);
     registry.on_store_available(recovered_at);
-    registry.on_full_list(recovered_at, Vec::new());
+    registry.on_full_list(recovered_at, 0, Vec::new());
     assert_eq!(upstream_names(&registry), ["missing", "relisted"]);
     registry.on_upstream_listed(listed_upstream("relisted"));
     assert!(!registry.drop_expired(recovered_at + Duration::from_millis(1_900)));
@@ -153,15 +155,17 @@
     let mut registry = UpstreamRegistry::default();
     registry.on_upstream_listed(listed_upstream("a"));
     assert!(!registry.is_complete());
-    registry.on_full_list(Instant::now(), Vec::new());
+    registry.on_full_list(Instant::now(), 0, Vec::new());
     assert!(registry.is_complete());
 }
 
 fn pool(domains: &[&str]) -> UpstreamPool {
     let mut pool = UpstreamPool::default();
     for (index, domain) in domains.iter().enumerate() {
-        let address = SocketAddr::from(([127, 0, 0, 1], 9));
-        pool.upsert(&format!("u{index}"), address, domain, false);
+        pool.upsert(&ListedUpstream {
+            domain: (*domain).into(),
+            ..listed_upstream(&format!("u{index}"))
+        });
     }
     pool
 }
@@ -196,11 +200,106 @@
 fn leaving_upstream_gets_no_calls() {
     let now = Instant::now();
     let mut pool = pool(&["a"]);
-    pool.upsert("u0", SocketAddr::from(([127, 0, 0, 1], 9)), "a", true);
-    assert!(pool.pick(now, "a", &[]).is_none());
+    pool.upsert(&ListedUpstream {
+        leaving: true,
+        ..listed_upstream("u0")
+    });
+    assert_eq!(pool.pick(now, "a", &[]).err(), Some(PickError::NoUpstream));
     assert!(pool.has_none_available());
 }
 
+#[test]
+fn upstream_that_asked_for_a_pause_gets_no_calls_until_the_pause_ends() {
+    let now = Instant::now();
+    let mut pool = pool(&["a", "b"]);
+    pool.pause("u0", 1, now + Duration::from_secs(5));
+    pool.pause("u0", 1, now + Duration::from_secs(2));
+    // Listing the same process again does not end its pause.
+    pool.upsert(&listed_upstream("u0"));
+    for _ in 0..20 {
+        assert_eq!(&*pool.pick(now, "a", &[]).unwrap().0, "u1");
+    }
+    let before_end = now + Duration::from_millis(4_999);
+    assert_eq!(&*pool.pick(before_end, "a", &[]).unwrap().0, "u1");
+    let after_end = now + Duration::from_secs(5);
+    assert_eq!(&*pool.pick(after_end, "a", &[]).unwrap().0, "u0");
+}
+
+#[test]
+fn pause_of_all_upstreams_is_refused_with_the_time_until_the_first_one_ends() {
+    let now = Instant::now();
+    let mut pool = pool(&["a", "b"]);
+    pool.pause("u0", 1, now + Duration::from_secs(5));
+    pool.pause("u1", 1, now + Duration::from_secs(3));
+    let ends_in = Duration::from_secs(3);
+    assert_eq!(
+        pool.pick(now, "a", &[]).err(),
+        Some(PickError::AllPaused { ends_in })
+    );
+    // Callers come back after the pause, spread over some time.
+    assert_eq!(admission::retry_after_pause(ends_in, 0.0), ends_in);
+    assert_eq!(
+        admission::retry_after_pause(ends_in, 1.0),
+        Duration::from_secs(4)
+    );
+}
+
+#[test]
+fn restarted_upstream_is_not_bound_by_the_pause_or_departure_of_its_predecessor() {
+    let now = Instant::now();
+    let mut pool = pool(&["a"]);
+    pool.pause("u0", 1, now + Duration::from_secs(5));
+    let restarted = ListedUpstream {
+        started: 2,
+        ..listed_upstream("u0")
+    };
+    pool.upsert(&restarted);
+    assert!(pool.pick(now, "a", &[]).is_ok());
+    // A late answer of the process before does not pause its successor.
+    pool.pause("u0", 1, now + Duration::from_secs(5));
+    assert!(pool.pick(now, "a", &[]).is_ok());
+
+    let mut registry = UpstreamRegistry::default();
+    registry.on_upstream_listed(listed_upstream("u0"));
+    assert!(registry.on_leaving_announced("u0", 1));
+    registry.on_upstream_listed(restarted);
+    assert!(!registry.upstreams().next().unwrap().leaving);
+    assert!(!registry.on_leaving_announced("u0", 1));
+    assert!(!registry.upstreams().next().unwrap().leaving);
+}
+
+#[test]
+fn upstream_that_said_it_is_leaving_stays_so_whatever_its_record_says() {
+    let mut registry = UpstreamRegistry::default();
+    registry.on_upstream_listed(listed_upstream("u0"));
+    assert!(registry.on_leaving_announced("u0", 1));
+    assert!(!registry.on_leaving_announced("u0", 1));
+    registry.on_upstream_listed(listed_upstream("u0"));
+    registry.on_full_list(Instant::now(), 4, vec![listed_upstream("u0")]);
+    assert!(registry.upstreams().next().unwrap().leaving);
+}
+
+#[test]
+fn restored_list_neither_drops_new_upstreams_nor_brings_removed_ones_back() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::default();
+    let listed = |names: &[&str]| names.iter().map(|name| listed_upstream(name)).collect();
+    registry.on_full_list(now, 1, listed(&["old", "removed"]));
+    registry.on_upstream_listed(listed_upstream("new"));
+    registry.on_upstream_removed(now, "removed");
+    assert_eq!(upstream_names(&registry), ["new", "old"]);
+    // The copy is of the time before the two changes.
+    let restored_at = now + Duration::from_secs(3);
+    registry.on_full_list(restored_at, 2, listed(&["old", "removed"]));
+    assert_eq!(upstream_names(&registry), ["new", "old"]);
+    registry.on_full_list(restored_at, 2, listed(&["old", "removed"]));
+    assert_eq!(upstream_names(&registry), ["new", "old"]);
+    // An upstream that writes its record again is alive; one that does not is gone.
+    registry.on_upstream_listed(listed_upstream("removed"));
+    assert!(registry.drop_expired(restored_at + Duration::from_secs(2)));
+    assert_eq!(upstream_names(&registry), ["old", "removed"]);
+}
+
 #[rstest]
 #[case(1_000, 400, 60_000, 4_000)]
 #[case(800, 400, 60_000, 3_200)]
--- a/crates/dogwoodshunt_store/src/tests.rs
+++ b/crates/dogwoodshunt_store/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the store against an in-memory key-value service with fault injection.
 
+mod ownership;
+
 use crate::LogStore;
 use crate::claim;
 use crate::claim::Claim;
@@ -9,7 +11,7 @@
 use crate::compaction::CompactionStep;
 use crate::log::Proposal;
 use crate::log::StoreError;
-use crate::ownership;
+use crate::ownership as upstream_ownership;
 use dogwoodshunt_border::kv::memory::Fault;
 use dogwoodshunt_border::kv::memory::MemoryKv;
 use dogwoodshunt_catalogue::AdapterSpec;
@@ -124,12 +126,16 @@
 fn takeover_raises_the_fencing_token_and_ends_the_previous_ownership() {
     let kv = MemoryKv::new();
     let node = "agent".into();
-    let first = block_on(ownership::take_over(&kv, &node, 1)).unwrap();
+    let first = block_on(upstream_ownership::take_over(&kv, &node, 1)).unwrap();
     kv.set_fault(Fault::ResponseLost);
-    let second = block_on(ownership::take_over(&kv, &node, 2)).unwrap();
-    assert!(second > first);
-    assert!(!block_on(ownership::is_owner(&kv, &node, 1)).unwrap());
-    assert!(block_on(ownership::is_owner(&kv, &node, 2)).unwrap());
+    let second = block_on(upstream_ownership::take_over(&kv, &node, 2)).unwrap();
+    assert!(second.epoch > first.epoch);
+    assert_eq!(
+        block_on(upstream_ownership::verify(&kv, &node, &first)).unwrap(),
+        None
+    );
+    let confirmed = block_on(upstream_ownership::verify(&kv, &node, &second)).unwrap();
+    assert_eq!(confirmed, Some(second));
 }
 
 #[rstest]
--- a/crates/dogwoodshunt_types/src/adapter.rs
+++ b/crates/dogwoodshunt_types/src/adapter.rs
@@ -27,6 +27,15 @@
         }
     }
 
+    /// Returns whether a declaration of this version replaces one of `current`, a version of the
+    /// same adapter.
+    ///
+    /// Of two versions that are unsigned integers only the higher one replaces the other. Other
+    /// versions are not ordered, so the later declaration counts.
+    pub fn replaces(&self, current: &Self) -> bool {
+        self.version != current.version && !is_newer(&current.version, &self.version)
+    }
+
     /// Parses `NAME@VERSION`.
     ///
     /// Returns `None` if either part is missing or is not a valid name.
--- a/crates/dogwoodshunt_types/src/id.rs
+++ b/crates/dogwoodshunt_types/src/id.rs
@@ -32,6 +32,13 @@
 /// higher epoch than the previous one.
 pub type Epoch = u64;
 
+/// Counts how often the key-value service has been restored from an older copy of its data.
+///
+/// A restore discards acknowledged writes, and the revisions of these writes are assigned again.
+/// So revisions are comparable only within one era. Services that are never restored in this way
+/// stay in era 0.
+pub type StoreEra = u32;
+
 /// Wall-clock time in milliseconds since the Unix epoch.
 pub type UnixMillis = u64;
 
--- a/crates/dogwoodshunt_types/src/lib.rs
+++ b/crates/dogwoodshunt_types/src/lib.rs
@@ -25,6 +25,7 @@
 pub use crate::id::RequestId;
 pub use crate::id::Revision;
 pub use crate::id::ServiceName;
+pub use crate::id::StoreEra;
 pub use crate::id::UnixMillis;
 pub use crate::id::UpstreamName;
 pub use crate::id::Version;
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -72,6 +72,8 @@
     NoUpstream,
     /// The request queue is full.
     Overloaded,
+    /// All upstreams that could run the request have asked for a pause.
+    Paused,
     /// The node cannot confirm that its catalogue is still in force.
     Stale,
     /// The key-value service, which must record the request first, is unreachable.
@@ -90,6 +92,7 @@
             Self::LoadFailed => "the adapter could not be loaded",
             Self::NoUpstream => "no upstream is up that can run the request",
             Self::Overloaded => "the queue is full",
+            Self::Paused => "all upstreams have asked for a pause",
             Self::Stale => "the node cannot confirm that its catalogue is in force",
             Self::KeyValueServiceUnreachable => "the key-value service is not reachable",
             Self::Withdrawn => "the adapter version is not in force",
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -17,6 +17,7 @@
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::RequestOutcome;
 use dogwoodshunt_types::Revision;
+use dogwoodshunt_types::StoreEra;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use serde::Deserialize;
@@ -24,7 +25,7 @@
 use std::time::Duration;
 
 /// Version of the protocol; both sides of a connection must speak the same one.
-pub const PROTOCOL_VERSION: u32 = 3;
+pub const PROTOCOL_VERSION: u32 = 4;
 
 /// Maximum number of response bytes per attempt that an agent sends before the entry acknowledges
 /// them.
@@ -254,7 +255,10 @@
     /// Base model and capacity of the engines of the service.
     pub engine: EngineConfig,
     /// Adapter versions that are declared to be in force.
-    pub versions: Vec<DeclaredVersion>,
+    pub versions: Vec<AdapterRef>,
+    /// Number of times that the key-value service was restored from an older copy, as known to
+    /// the entry.
+    pub store_era: StoreEra,
 }
 
 /// Name of an upstream with the start time of its process, which distinguishes restarts.
@@ -281,15 +285,6 @@
     pub slots: u32,
 }
 
-/// Adapter version that is declared to be in force.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct DeclaredVersion {
-    /// Adapter name and version.
-    pub adapter: AdapterRef,
-    /// Log revision of the declaration.
-    pub revision: Revision,
-}
-
 /// Status and headers of a response.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ResponseHead {
