--- a/crates/dogwoodshunt_store/src/tests/ownership.rs
+++ b/crates/dogwoodshunt_store/src/tests/ownership.rs
@@ -355,3 +355,19 @@
         None
     );
 }
+
+/// Two processes that start together may each take over from the other; only a
+/// restore makes the record of a predecessor doubtful.
+#[test]
+fn predecessor_that_takes_over_again_supersedes_without_a_restore() {
+    let kv = MemoryKv::new();
+    let node: NodeId = "agent".into();
+    block_on(ownership::take_over(&kv, &node, 1)).unwrap();
+    let owner = block_on(ownership::take_over(&kv, &node, 2)).unwrap();
+    let again = block_on(ownership::take_over(&kv, &node, 1)).unwrap();
+    assert!(again.epoch > owner.epoch);
+    assert_eq!(
+        block_on(ownership::verify(&kv, &node, &owner)).unwrap(),
+        None
+    );
+}
