Send the changes of a load report without names

Cause: 78 agents send each change of their load to 27 entries, five sixths of them in another failure domain, at most every 100 ms. A change took 121 bytes, 211 with a load that waits, and each adapter that was loaded or evicted took a full report of 633 bytes (measured with the codec). Ages of waiting loads and the average of run times changed at every moment, and the report was built anew for each connection.

Change: changes of the load are a frame of their own between heartbeats, encoded as fields in their order; adapters that changed are named one by one; default fields of heartbeats are left out; ages and averages are rounded. A change takes at most 50 bytes, and 32 more for an adapter. An entry that found an adapter missing gets a full report next, since it has changed its copy.

--- a/crates/dogwoodshunt_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_agent/src/control/links.rs
@@ -155,6 +155,7 @@
             | Frame::FirstByte { .. }
             | Frame::Head { .. }
             | Frame::Hello(_)
+            | Frame::Load(_)
             | Frame::NotRun { .. }
             | Frame::UpstreamConfig(_)
             | Frame::Welcome { .. } => self.on_entry_disconnected(now, key),
--- a/crates/dogwoodshunt_engine_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/links.rs
@@ -6,6 +6,7 @@
 use crate::control::LinkKey;
 use async_channel::Sender;
 use dogwoodshunt_residency::Report;
+use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_runtime::link::Link;
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_wire::Frame;
@@ -13,6 +14,7 @@
 use dogwoodshunt_wire::frame::Identity;
 use slog::info;
 use slog::warn;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,7 +32,9 @@
     tx: Sender<Frame>,
     last_received_at: Instant,
     last_heartbeat_sent_at: Instant,
-    last_report: Option<Report>,
+    /// When the last frame with a report was sent.
+    last_report_sent_at: Instant,
+    last_report: Option<Arc<Report>>,
     sent_heartbeat_number: u64,
     received_heartbeat_number: u64,
 }
@@ -46,6 +50,7 @@
             tx,
             last_received_at: now,
             last_heartbeat_sent_at: now,
+            last_report_sent_at: now,
             last_report: None,
             sent_heartbeat_number: 0,
             received_heartbeat_number: 0,
@@ -64,7 +69,8 @@
             let _ = events_tx.send(Event::EntryDisconnected(key)).await;
         };
         self.context.traffic.spawn(forward_frames).detach();
-        self.send_heartbeat(now, key);
+        let report = Arc::new(self.scheduler.report(now));
+        self.send_heartbeat(now, key, &report);
     }
 
     /// Closes earlier connections of the same entry.
@@ -121,6 +127,7 @@
             | Frame::Grant { .. }
             | Frame::Head { .. }
             | Frame::Hello(_)
+            | Frame::Load(_)
             | Frame::NotRun { .. }
             | Frame::Pull { .. }
             | Frame::Resume { .. }
@@ -141,19 +148,27 @@
         }
     }
 
-    /// Sends heartbeats that are due, and closes connections on which nothing has
-    /// arrived for [`MAX_MISSED_HEARTBEATS`] intervals.
+    /// Makes the next report on a connection a full one.
+    pub(super) fn send_full_report_next(&mut self, key: LinkKey) {
+        if let Some(link) = self.links.get_mut(key) {
+            link.last_report = None;
+        }
+    }
+
+    /// Sends heartbeats and changes of the report that are due, and closes connections
+    /// on which nothing has arrived for [`MAX_MISSED_HEARTBEATS`] intervals.
     pub(super) fn send_due_heartbeats(&mut self, now: Instant) {
-        let report = self.scheduler.report(now);
-        let mut due = Vec::new();
+        let report = Arc::new(self.scheduler.report(now));
+        let mut heartbeats_due = Vec::new();
+        let mut changes_due = Vec::new();
         let mut timed_out = Vec::new();
         for (key, link) in &self.links {
-            let time_since_heartbeat = now.saturating_duration_since(link.last_heartbeat_sent_at);
+            let since = |at: Instant| now.saturating_duration_since(at);
             let changed = link.last_report.as_ref() != Some(&report);
-            if time_since_heartbeat >= self.heartbeat_interval
-                || (changed && time_since_heartbeat >= MIN_REPORT_INTERVAL)
-            {
-                due.push(key);
+            if since(link.last_heartbeat_sent_at) >= self.heartbeat_interval {
+                heartbeats_due.push(key);
+            } else if changed && since(link.last_report_sent_at) >= MIN_REPORT_INTERVAL {
+                changes_due.push(key);
             }
             if now.saturating_duration_since(link.last_received_at)
                 >= self.heartbeat_interval * MAX_MISSED_HEARTBEATS
@@ -161,21 +176,41 @@
                 timed_out.push(key);
             }
         }
-        due.into_iter()
-            .for_each(|key| self.send_heartbeat(now, key));
+        heartbeats_due
+            .into_iter()
+            .for_each(|key| self.send_heartbeat(now, key, &report));
+        changes_due
+            .into_iter()
+            .for_each(|key| self.send_report_changes(now, key, &report));
         timed_out
             .into_iter()
             .for_each(|key| self.on_entry_disconnected(now, key));
     }
 
     pub(super) fn send_all_heartbeats(&mut self, now: Instant) {
+        let report = Arc::new(self.scheduler.report(now));
         let keys: Vec<LinkKey> = self.links.keys().collect();
         keys.into_iter()
-            .for_each(|key| self.send_heartbeat(now, key));
+            .for_each(|key| self.send_heartbeat(now, key, &report));
+    }
+
+    /// Sends the changes of the report since the last one on a connection; a change
+    /// that needs a full report goes with a heartbeat.
+    fn send_report_changes(&mut self, now: Instant, key: LinkKey, report: &Arc<Report>) {
+        let Some(link) = self.links.get_mut(key) else {
+            return;
+        };
+        match report.update_since(link.last_report.as_deref()) {
+            ReportUpdate::Full(_) => self.send_heartbeat(now, key, report),
+            ReportUpdate::Load(load) => {
+                link.last_report_sent_at = now;
+                link.last_report = Some(report.clone());
+                self.send(key, Frame::Load(Box::new(load)));
+            }
+        }
     }
 
-    fn send_heartbeat(&mut self, now: Instant, key: LinkKey) {
-        let report = self.scheduler.report(now);
+    fn send_heartbeat(&mut self, now: Instant, key: LinkKey, report: &Arc<Report>) {
         let leaving = self.stop_at.is_some();
         let epoch = self.fencing_token();
         let connected_entries = u32::try_from(self.links.len()).unwrap_or(u32::MAX);
@@ -184,8 +219,9 @@
         };
         link.sent_heartbeat_number += 1;
         link.last_heartbeat_sent_at = now;
-        let update = report.update_since(link.last_report.as_ref());
-        link.last_report = Some(report);
+        link.last_report_sent_at = now;
+        let update = report.update_since(link.last_report.as_deref());
+        link.last_report = Some(report.clone());
         let heartbeat = Heartbeat {
             number: link.sent_heartbeat_number,
             echo: link.received_heartbeat_number,
--- a/crates/dogwoodshunt_engine_agent/src/control/runs.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/runs.rs
@@ -137,6 +137,9 @@
         self.request_by_job.remove(&run.job);
         if adapter_missing {
             self.scheduler.mark_adapter_unknown(run.job);
+            // The entry has dropped the adapter from its copy of the report, so changes
+            // since the last report no longer apply to it.
+            self.send_full_report_next(run.link);
         }
         let actions = self
             .scheduler
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -14,6 +14,7 @@
 use async_channel::Sender;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_runtime::link::Link;
 use dogwoodshunt_runtime::metrics;
 use dogwoodshunt_runtime::ownership::Ownership;
@@ -457,3 +458,55 @@
         [NotRunReason::NoUpstream]
     );
 }
+
+/// Frames with a report that were sent to the entry that connected first.
+fn report_frames(agent: &TestAgent) -> Vec<Frame> {
+    let frames = std::iter::from_fn(|| agent.links[0].0.try_recv().ok());
+    let has_report = |frame: &Frame| match frame {
+        Frame::Heartbeat(heartbeat) => heartbeat.report.is_some(),
+        Frame::Load(_) => true,
+        _ => false,
+    };
+    frames.filter(has_report).collect()
+}
+
+#[test]
+fn changes_between_heartbeats_are_sent_without_the_full_report() {
+    let mut agent = TestAgent::owning_named_engine();
+    agent.now += Duration::from_millis(600);
+    agent.receive_report(|report| report.adapters = vec![AdapterRef::new("a", "1")]);
+    report_frames(&agent);
+    for adapter in ["a", "b"] {
+        agent.now += Duration::from_millis(150);
+        agent.request_run(adapter, 7);
+    }
+    let frames = report_frames(&agent);
+    let changes: Vec<_> = frames
+        .iter()
+        .map(|frame| match frame {
+            Frame::Load(load) => load.adapter_changes.len(),
+            other => panic!("expected a Load frame, got {other:?}"),
+        })
+        .collect();
+    // The second request starts the load of its adapter.
+    assert_eq!(changes, [0, 1]);
+}
+
+#[test]
+fn entry_that_found_an_adapter_missing_gets_a_full_report() {
+    let mut agent = TestAgent::owning_named_engine();
+    agent.receive_report(|report| report.adapters = vec![AdapterRef::new("a", "1")]);
+    agent.request_run("a", 7);
+    let request = granted_runs(&agent.take_sent_frames())[0].0;
+    agent.now += Duration::from_millis(150);
+    agent.receive_frame(Frame::Done {
+        request,
+        adapter_missing: true,
+    });
+    agent.receive_report(|report| report.adapters = vec![AdapterRef::new("a", "1")]);
+    let is_full = |frame: &Frame| {
+        matches!(frame, Frame::Heartbeat(heartbeat)
+            if matches!(heartbeat.report, Some(ReportUpdate::Full(_))))
+    };
+    assert!(report_frames(&agent).iter().any(is_full));
+}
--- a/crates/dogwoodshunt_entry/src/control/agents.rs
+++ b/crates/dogwoodshunt_entry/src/control/agents.rs
@@ -70,6 +70,7 @@
             | Frame::Grant { .. }
             | Frame::Head { .. }
             | Frame::Hello(_)
+            | Frame::Load(_)
             | Frame::NotRun { .. }
             | Frame::Resume { .. }
             | Frame::Submit(_)
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -227,6 +227,9 @@
                 target,
             } => self.on_admitted(now, agent, request, upstream, target),
             Frame::Heartbeat(heartbeat) => self.on_heartbeat(now, agent, *heartbeat),
+            Frame::Load(load) => {
+                self.router.on_report(now, agent, ReportUpdate::Load(*load));
+            }
             Frame::NotRun { request, not_run } => self.on_declined(now, agent, request, not_run),
             Frame::Ack { .. }
             | Frame::Admit(_)
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -8,10 +8,12 @@
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamKey;
 use crate::upstream::UpstreamKind;
+use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Priority;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::Version;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::HashMap;
@@ -27,30 +29,61 @@
 /// Step to which the prefill rate is rounded down, in tokens per second.
 const RATE_STEP_TOKENS_PER_S: u64 = 1_000;
 
-/// Load of an engine, in tokens.
+/// Step to which the moving average of run times is rounded down.
+const MEAN_RUN_STEP: Duration = Duration::from_millis(10);
+
+/// Step to which the age of a pending load is rounded down.
+const PENDING_AGE_STEP: Duration = Duration::from_millis(250);
+
+/// Load of an engine, in tokens. Encoded without field names, as it is sent to every
+/// entry several times a second.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "EngineLoadFields", into = "EngineLoadFields")]
 pub struct EngineLoad {
     /// Prompt tokens that the engine has yet to process, of running requests and of
     /// queued ones that the engine can serve.
-    #[serde(rename = "u")]
     pub pending_prefill: u64,
     /// KV cache tokens that running requests occupy when their completions have
     /// their maximum length.
-    #[serde(rename = "h")]
     pub reserved_kv: u64,
     /// Estimated prefill rate, in tokens per second.
-    #[serde(rename = "p")]
     pub prefill_tokens_per_second: u64,
     /// Adapter slots that are empty or hold an adapter that no running or queued
     /// request uses.
-    #[serde(rename = "f")]
     pub free_slots: u32,
     /// Percentage of recent time, about the last second, that the engine spent on
     /// prefill.
-    #[serde(rename = "b")]
     pub prefill_busy_percent: u8,
 }
 
+/// Encoded form of [`EngineLoad`]: its fields in their order.
+type EngineLoadFields = (u64, u64, u64, u32, u8);
+
+impl From<EngineLoadFields> for EngineLoad {
+    fn from(fields: EngineLoadFields) -> Self {
+        let (pending_prefill, reserved_kv, prefill_tokens_per_second, free_slots, busy) = fields;
+        Self {
+            pending_prefill,
+            reserved_kv,
+            prefill_tokens_per_second,
+            free_slots,
+            prefill_busy_percent: busy,
+        }
+    }
+}
+
+impl From<EngineLoad> for EngineLoadFields {
+    fn from(load: EngineLoad) -> Self {
+        (
+            load.pending_prefill,
+            load.reserved_kv,
+            load.prefill_tokens_per_second,
+            load.free_slots,
+            load.prefill_busy_percent,
+        )
+    }
+}
+
 /// Load of one upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct UpstreamReport {
@@ -85,8 +118,9 @@
     Service(ServiceName),
 }
 
-/// Adapter that is needed but neither resident nor loading.
+/// Adapter that is needed but neither resident nor loading. Encoded without field names.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "PendingLoadFields", into = "PendingLoadFields")]
 pub struct PendingLoad {
     /// Adapter and version to load.
     pub adapter: AdapterRef,
@@ -98,6 +132,29 @@
     pub priority: Priority,
 }
 
+/// Encoded form of [`PendingLoad`]: name and version of the adapter, waiting requests,
+/// age in milliseconds, priority.
+type PendingLoadFields = (AdapterName, Version, u32, u32, Priority);
+
+impl From<PendingLoadFields> for PendingLoad {
+    fn from((name, version, waiting, oldest_ms, priority): PendingLoadFields) -> Self {
+        Self {
+            adapter: AdapterRef { name, version },
+            waiting,
+            oldest: Duration::from_millis(oldest_ms.into()),
+            priority,
+        }
+    }
+}
+
+impl From<PendingLoad> for PendingLoadFields {
+    fn from(pending: PendingLoad) -> Self {
+        let AdapterRef { name, version } = pending.adapter;
+        let oldest_ms = u32::try_from(pending.oldest.as_millis()).unwrap_or(u32::MAX);
+        (name, version, pending.waiting, oldest_ms, pending.priority)
+    }
+}
+
 /// Load of one agent at a point in time.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Report {
@@ -112,24 +169,107 @@
     pub pending_loads: Vec<PendingLoad>,
 }
 
-/// Fields of a report that change with every request.
+/// State of an adapter on an upstream after a change.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum AdapterState {
+    /// The adapter is neither ready nor being loaded.
+    #[serde(rename = "a")]
+    Absent,
+    /// The load of the adapter is in flight.
+    #[serde(rename = "l")]
+    Loading,
+    /// The adapter accepts requests.
+    #[serde(rename = "r")]
+    Ready,
+}
+
+/// Change of one adapter since the previous report.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "AdapterChangeFields", into = "AdapterChangeFields")]
+pub struct AdapterChange {
+    /// Index of the upstream in the full report.
+    pub upstream: u32,
+    /// Adapter that has changed.
+    pub adapter: AdapterRef,
+    /// State of the adapter now.
+    pub state: AdapterState,
+}
+
+/// Encoded form of [`AdapterChange`]: upstream, state, name and version of the adapter.
+type AdapterChangeFields = (u32, AdapterState, AdapterName, Version);
+
+impl From<AdapterChangeFields> for AdapterChange {
+    fn from((upstream, state, name, version): AdapterChangeFields) -> Self {
+        Self {
+            upstream,
+            adapter: AdapterRef { name, version },
+            state,
+        }
+    }
+}
+
+impl From<AdapterChange> for AdapterChangeFields {
+    fn from(change: AdapterChange) -> Self {
+        let AdapterRef { name, version } = change.adapter;
+        (change.upstream, change.state, name, version)
+    }
+}
+
+/// Fields of a report that change with every request, and the adapters that have
+/// changed since the previous report. Encoded without field names.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "ReportLoadFields", into = "ReportLoadFields")]
 pub struct ReportLoad {
     /// Number of running requests of each upstream, in the order of the full report.
-    #[serde(rename = "r")]
     pub running: Vec<u32>,
     /// Load of each upstream in tokens, in the order of the full report.
-    #[serde(rename = "e")]
     pub engines: Vec<Option<EngineLoad>>,
     /// Number of requests in the agent's queue.
-    #[serde(rename = "q")]
     pub queued: u32,
-    /// Moving average of run times.
-    #[serde(rename = "m")]
+    /// Moving average of run times, in whole milliseconds.
     pub mean_run: Duration,
     /// Adapters that wait to be loaded, by descending cost of delay.
-    #[serde(rename = "w")]
     pub pending_loads: Vec<PendingLoad>,
+    /// Adapters that have changed since the previous report.
+    pub adapter_changes: Vec<AdapterChange>,
+}
+
+/// Encoded form of [`ReportLoad`]: its fields in their order, with the average of run
+/// times in milliseconds.
+type ReportLoadFields = (
+    Vec<u32>,
+    Vec<Option<EngineLoad>>,
+    u32,
+    u32,
+    Vec<PendingLoad>,
+    Vec<AdapterChange>,
+);
+
+impl From<ReportLoadFields> for ReportLoad {
+    fn from(fields: ReportLoadFields) -> Self {
+        let (running, engines, queued, mean_run_ms, pending_loads, adapter_changes) = fields;
+        Self {
+            running,
+            engines,
+            queued,
+            mean_run: Duration::from_millis(mean_run_ms.into()),
+            pending_loads,
+            adapter_changes,
+        }
+    }
+}
+
+impl From<ReportLoad> for ReportLoadFields {
+    fn from(load: ReportLoad) -> Self {
+        (
+            load.running,
+            load.engines,
+            load.queued,
+            u32::try_from(load.mean_run.as_millis()).unwrap_or(u32::MAX),
+            load.pending_loads,
+            load.adapter_changes,
+        )
+    }
 }
 
 /// Full report, or the changes since the previous one on the same connection.
@@ -137,15 +277,28 @@
 pub enum ReportUpdate {
     /// Full report.
     Full(Report),
-    /// Current load; upstreams and their adapters are as in the previous report.
+    /// Current load and changed adapters; all else is as in the previous report.
     Load(ReportLoad),
 }
 
+impl ReportUpdate {
+    /// Returns whether the adapters of an upstream may differ from the previous report.
+    pub fn changes_adapters(&self) -> bool {
+        match self {
+            Self::Full(_) => true,
+            Self::Load(load) => !load.adapter_changes.is_empty(),
+        }
+    }
+}
+
 impl Report {
     /// Returns the update to send to a receiver whose previous report is `last`.
     pub fn update_since(&self, last: Option<&Self>) -> ReportUpdate {
         match last {
-            Some(last) if self.differs_in_load_only(last) => ReportUpdate::Load(self.load()),
+            Some(last) if self.has_same_upstreams(last) => ReportUpdate::Load(ReportLoad {
+                adapter_changes: self.adapter_changes(last),
+                ..self.load()
+            }),
             Some(_) | None => ReportUpdate::Full(self.clone()),
         }
     }
@@ -175,6 +328,7 @@
             queued: self.queued,
             mean_run: self.mean_run,
             pending_loads: self.pending_loads.clone(),
+            adapter_changes: Vec::new(),
         }
     }
 
@@ -186,6 +340,12 @@
         for (upstream, engine) in upstreams.iter_mut().zip(load.engines) {
             upstream.engine = engine;
         }
+        for change in load.adapter_changes {
+            let index = usize::try_from(change.upstream).unwrap_or(usize::MAX);
+            if let Some(upstream) = upstreams.get_mut(index) {
+                upstream.apply(change);
+            }
+        }
         Self {
             upstreams,
             queued: load.queued,
@@ -194,12 +354,59 @@
         }
     }
 
-    fn differs_in_load_only(&self, last: &Self) -> bool {
-        let differ_in_load_only = |(a, b): (&UpstreamReport, &UpstreamReport)| {
-            a.takes_work == b.takes_work && a.ready == b.ready && a.loading == b.loading
+    /// Returns whether the upstreams of both reports differ at most in their load and
+    /// adapters.
+    fn has_same_upstreams(&self, last: &Self) -> bool {
+        let is_same = |(a, b): (&UpstreamReport, &UpstreamReport)| {
+            a.takes_work == b.takes_work
+                && a.name == b.name
+                && a.serves == b.serves
+                && (a.batch, a.slots, a.kv_tokens) == (b.batch, b.slots, b.kv_tokens)
+        };
+        let mut pairs = self.upstreams.iter().zip(&last.upstreams);
+        self.upstreams.len() == last.upstreams.len() && pairs.all(is_same)
+    }
+
+    /// Returns the adapters whose state differs from that in `last`, which has the same
+    /// upstreams.
+    fn adapter_changes(&self, last: &Self) -> Vec<AdapterChange> {
+        let pairs = self.upstreams.iter().zip(&last.upstreams).zip(0..);
+        let changes = pairs.flat_map(|((current, last), upstream)| {
+            let is_known = |adapter: &&AdapterRef| {
+                current.ready.contains(adapter) || current.loading.contains(adapter)
+            };
+            let gone = last.ready.iter().chain(&last.loading);
+            let gone = gone.filter(move |adapter| !is_known(adapter));
+            let gone = gone.map(|adapter| (adapter, AdapterState::Absent));
+            let loading = current.loading.iter();
+            let loading = loading.filter(|adapter| !last.loading.contains(adapter));
+            let loading = loading.map(|adapter| (adapter, AdapterState::Loading));
+            let ready = current.ready.iter();
+            let ready = ready.filter(|adapter| !last.ready.contains(adapter));
+            let ready = ready.map(|adapter| (adapter, AdapterState::Ready));
+            let changed = gone.chain(loading).chain(ready);
+            changed.map(move |(adapter, state)| AdapterChange {
+                upstream,
+                adapter: adapter.clone(),
+                state,
+            })
+        });
+        changes.collect()
+    }
+}
+
+impl UpstreamReport {
+    fn apply(&mut self, change: AdapterChange) {
+        self.ready.retain(|adapter| *adapter != change.adapter);
+        self.loading.retain(|adapter| *adapter != change.adapter);
+        let adapters = match change.state {
+            AdapterState::Absent => return,
+            AdapterState::Loading => &mut self.loading,
+            AdapterState::Ready => &mut self.ready,
         };
-        let pairs = self.upstreams.iter().zip(&last.upstreams);
-        self.upstreams.len() == last.upstreams.len() && pairs.into_iter().all(differ_in_load_only)
+        adapters.push(change.adapter);
+        // As in a full report, so that equal sets compare equal.
+        adapters.sort_unstable();
     }
 }
 
@@ -209,7 +416,7 @@
         Report {
             upstreams: self.upstream_reports(now),
             queued: saturating_u32(self.queued_len()),
-            mean_run: self.mean_run(),
+            mean_run: round_down(self.mean_run(), MEAN_RUN_STEP),
             pending_loads: self.pending_loads(now),
         }
     }
@@ -220,7 +427,7 @@
             let matching = residents.filter(|(_, resident)| is_match(&resident.state));
             let mut matching: Vec<AdapterRef> =
                 matching.map(|(adapter, _)| adapter.clone()).collect();
-            // Sorted, so that equal sets compare equal in `differs_in_load_only`.
+            // Sorted, so that equal sets compare equal.
             matching.sort_unstable();
             matching
         };
@@ -305,7 +512,7 @@
                 priority: Priority::Low,
             });
             pending.waiting += 1;
-            pending.oldest = pending.oldest.max(age);
+            pending.oldest = pending.oldest.max(round_down(age, PENDING_AGE_STEP));
             pending.priority = pending.priority.max(job.priority);
         }
         let mut pending_loads: Vec<PendingLoad> = pending_loads.into_values().collect();
@@ -351,6 +558,13 @@
     }
 }
 
+/// Rounds `value` down to a multiple of `step`, so that reports do not change at every
+/// moment.
+fn round_down(value: Duration, step: Duration) -> Duration {
+    let steps = u32::try_from(value.as_nanos() / step.as_nanos()).unwrap_or(u32::MAX);
+    step * steps
+}
+
 fn saturating_u32(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
 }
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -100,16 +100,20 @@
     /// The host is assumed to keep copies of the `host_cache_capacity` adapters that were
     /// unloaded last.
     pub fn on_report(&mut self, now: Instant, update: ReportUpdate, host_cache_capacity: usize) {
-        let previous: Vec<AdapterRef> = match &update {
-            ReportUpdate::Full(_) => self.reported_adapters().cloned().collect(),
-            ReportUpdate::Load(_) => Vec::new(),
+        let changes_adapters = update.changes_adapters();
+        let previous: Vec<AdapterRef> = if changes_adapters {
+            self.reported_adapters().cloned().collect()
+        } else {
+            Vec::new()
         };
         let report = Report::apply_update(self.last_report(), update);
         self.report = report.map(|report| (now, report)).or(self.report.take());
         let upstreams = self.report.iter().flat_map(|(_, report)| &report.upstreams);
         let kv_tokens = upstreams.map(|upstream| upstream.kv_tokens).sum();
         self.prefixes.set_capacity(kv_tokens);
-        self.update_host_cached(previous, host_cache_capacity);
+        if changes_adapters {
+            self.update_host_cached(previous, host_cache_capacity);
+        }
     }
 
     /// Records the adapters of the `previous` report that have been unloaded, and
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -165,7 +165,7 @@
             return;
         };
         self.pending_load_count -= agent.pending_load_count();
-        if matches!(update, ReportUpdate::Load(_)) {
+        if !update.changes_adapters() {
             agent.on_report(now, update, self.settings.host_cache_capacity);
         } else {
             self.adapter_index.remove(key, agent.reported_adapters());
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -6,6 +6,7 @@
 use dogwoodshunt_freshness::FreshnessSummary;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::report::ReportLoad;
 use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
@@ -132,6 +133,9 @@
     },
     /// Entry to agent: second message of the handshake.
     Hello(Hello),
+    /// Agent to entry: changes of the load report since the previous frame that carried it.
+    #[serde(rename = "L")]
+    Load(Box<ReportLoad>),
     /// Agent to entry: the agent refuses the attempt, which has not run and will not run.
     NotRun {
         /// Refused attempt.
@@ -308,31 +312,31 @@
     #[serde(rename = "c")]
     pub echo: u64,
     /// Summary of the sender's knowledge of the freshness of the catalogue.
-    #[serde(rename = "s")]
+    #[serde(default, rename = "s", skip_serializing_if = "is_default")]
     pub summary: FreshnessSummary,
     /// Whether the sender's catalogue is confirmed to be in force.
     #[serde(rename = "f")]
     pub fresh: bool,
     /// Whether the sender is shutting down and accepts no new work.
-    #[serde(rename = "l")]
+    #[serde(default, rename = "l", skip_serializing_if = "is_default")]
     pub leaving: bool,
     /// Whether the sending entry is the granter, which permits adapter loads.
-    #[serde(rename = "g")]
+    #[serde(default, rename = "g", skip_serializing_if = "is_default")]
     pub granter: bool,
     /// Whether the sender has no request in flight.
-    #[serde(rename = "m")]
+    #[serde(default, rename = "m", skip_serializing_if = "is_default")]
     pub idle: bool,
     /// Fencing token of the sending agent; 0 from an entry.
-    #[serde(rename = "e")]
+    #[serde(default, rename = "e", skip_serializing_if = "is_default")]
     pub epoch: Epoch,
     /// Load report of the sending agent, in full or as a difference from the previous one.
-    #[serde(rename = "r")]
+    #[serde(default, rename = "r", skip_serializing_if = "Option::is_none")]
     pub report: Option<ReportUpdate>,
     /// Number of entries connected to the sending agent; 0 from an entry.
-    #[serde(default, rename = "x")]
+    #[serde(default, rename = "x", skip_serializing_if = "is_default")]
     pub connected_entries: u32,
     /// Entries connected to the sending agent; empty in most heartbeats.
-    #[serde(rename = "p")]
+    #[serde(default, rename = "p", skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<PeerState>,
 }
 
@@ -344,3 +348,8 @@
     /// Newest catalogue revision that the entry is known to hold.
     pub revision: Revision,
 }
+
+/// Returns whether a field has its default value, which is not encoded.
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
--- a/crates/dogwoodshunt_wire/src/tests.rs
+++ b/crates/dogwoodshunt_wire/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the codec and the handshake.
 
+mod reports;
+
 use crate::Frame;
 use crate::codec;
 use crate::frame::Heartbeat;
