Ask the store as seldom as the platform's time limits allow

Cause: each of 27 entries watches two prefixes, and the pause between two watches of the list of upstreams and the length of a watch were constants made for limits of two seconds.

Change: both follow from the limits in the settings, 0.35 of the time for a departure and 0.9 of that for a configuration; they stay as they were at two seconds.

Ruled out: one reader a failure domain that passes the list on, which would make the calls independent of the number of entries; it needs a second path for each change and its own takeover, and is left.

--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -41,15 +41,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Longest time for which one watch request stays open, which bounds how long a
-/// stalled connection can hide a change.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1_800);
-
-/// Delay between two watch requests for the list of upstreams. The list changes
-/// many times a second, and the entry must learn within 2 s that an upstream is
-/// leaving.
-const UPSTREAMS_WATCH_DELAY: Duration = Duration::from_millis(700);
-
 /// Time after SIGTERM during which new connections are still accepted: the
 /// platform probes readiness once a second and removes an entry after two
 /// probes in a row that find it not ready.
@@ -144,25 +135,19 @@
         let metrics_handler = Arc::new(MetricsHandler::new(registry, log.clone()));
         let (events, event_rx) = async_channel::unbounded();
         let shared_state = Arc::new(SharedState::default());
-        for (topic, prefix, watch_timeout, watch_delay) in [
-            (
-                Topic::Operator,
-                D::OPERATOR_PREFIX,
-                WATCH_TIMEOUT,
-                Duration::ZERO,
-            ),
+        for (topic, prefix, watch_delay) in [
+            (Topic::Operator, D::OPERATOR_PREFIX, Duration::ZERO),
             (
                 Topic::Upstreams,
                 D::UPSTREAM_PREFIX,
-                WATCH_TIMEOUT,
-                UPSTREAMS_WATCH_DELAY,
+                settings.change_limits.list_watch_delay(),
             ),
         ] {
             let watcher = PrefixWatcher {
                 kv: platform.kv.clone(),
                 topic,
                 prefix,
-                watch_timeout,
+                watch_timeout: settings.change_limits.watch_timeout(),
                 watch_delay,
                 events: events.clone(),
                 log: log.clone(),
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -36,6 +36,9 @@
     pub grace_ms: u64,
     /// Limits on retries.
     pub retries: RetrySettings,
+    /// Times within which changes in the key-value service must take effect.
+    #[serde(default)]
+    pub change_limits: ChangeLimits,
     /// Weights and limits for the placement of model requests on engines.
     #[serde(default)]
     pub placing: PlacementSettings,
@@ -58,6 +61,46 @@
     pub slack: f64,
 }
 
+/// Times within which changes in the key-value service must take effect. They bound how
+/// seldom the service may be asked, whose calls are limited for all entries together.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ChangeLimits {
+    /// Time until a configuration is in force, in milliseconds.
+    pub config_ms: u64,
+    /// Time until an upstream that is leaving gets no more requests, in milliseconds.
+    pub departure_ms: u64,
+}
+
+impl Default for ChangeLimits {
+    fn default() -> Self {
+        Self {
+            config_ms: 2_000,
+            departure_ms: 2_000,
+        }
+    }
+}
+
+impl ChangeLimits {
+    /// Share of `config_ms` for which one watch stays open, which bounds how long a stalled
+    /// connection can hide a change.
+    const WATCH_SHARE: f64 = 0.9;
+
+    /// Share of `departure_ms` between two watches of the list of upstreams, which changes
+    /// many times a second.
+    const LIST_SHARE: f64 = 0.35;
+
+    /// Returns the longest time for which one watch stays open.
+    pub fn watch_timeout(&self) -> Duration {
+        Duration::from_millis(self.config_ms).mul_f64(Self::WATCH_SHARE)
+    }
+
+    /// Returns the delay between two watches of the list of upstreams.
+    pub fn list_watch_delay(&self) -> Duration {
+        Duration::from_millis(self.departure_ms).mul_f64(Self::LIST_SHARE)
+    }
+}
+
 /// Weights and limits for the placement of model requests on engines.
 ///
 /// The router sends a request to the engine with the lowest cost; the unit of
@@ -166,6 +209,14 @@
         if self.retries.slack.is_nan() || self.retries.slack < 0.0 {
             return Err(InvalidSetting::new("retries.slack", "must not be below 0"));
         }
+        let limits = &self.change_limits;
+        validate_range("change_limits.config_ms", limits.config_ms, 100, 60_000)?;
+        validate_range(
+            "change_limits.departure_ms",
+            limits.departure_ms,
+            100,
+            60_000,
+        )?;
         self.placing.validate()
     }
 }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -16,6 +16,7 @@
 use crate::metrics::Metrics;
 use crate::platform::DecodedRecord;
 use crate::platform::RecordDecoder;
+use crate::settings::ChangeLimits;
 use crate::watch::Topic;
 use async_channel::Receiver;
 use dogwoodshunt_border::kv::KeyChange;
@@ -597,3 +598,18 @@
     assert!(shared_state.has_time_for_stream(now, "unknown"));
     assert!(!shared_state.has_time_for_stream(now + Duration::from_secs(8), "short"));
 }
+
+/// All entries together share the rate of calls that the store allows.
+#[test]
+fn store_is_asked_as_seldom_as_its_time_limits_allow() {
+    let asked_every = |config_ms, departure_ms| {
+        let limits = ChangeLimits {
+            config_ms,
+            departure_ms,
+        };
+        (limits.watch_timeout(), limits.list_watch_delay())
+    };
+    let millis = Duration::from_millis;
+    assert_eq!(asked_every(2_000, 2_000), (millis(1_800), millis(700)));
+    assert_eq!(asked_every(4_000, 4_000), (millis(3_600), millis(1_400)));
+}
