Estimate the wait for an adapter by how long loads take

Cause: an entry expected an adapter that no engine holds after the pending loads of all engines at 32 a second, a rate that suits eighteen engines and a store of eight loads at once. A deployment whose store is larger or smaller was estimated wrongly in either direction.

Change: each agent reports how long its own recent loads from the weight store took, which shows contention whoever causes it, and how many it may have in flight. An entry expects that time, behind the loads that wait at the same engine.

--- a/crates/dogwoodshunt_model/src/host.rs
+++ b/crates/dogwoodshunt_model/src/host.rs
@@ -49,6 +49,13 @@
     /// first-event timeout is an upper bound.
     #[builder(default = 3.2)]
     pub useful_objectives: f64,
+    /// Number of concurrent loads that the weight store serves at full speed.
+    #[builder(default = 8.0)]
+    pub store_full_speed_loads: f64,
+    /// Whether agents report how long their loads take. If not, entries assume that the
+    /// store serves [`RouterSettings::loads_per_second`].
+    #[builder(default = true)]
+    pub report_load_times: bool,
 }
 
 /// Gate that lets every target run.
--- a/crates/dogwoodshunt_model/src/main.rs
+++ b/crates/dogwoodshunt_model/src/main.rs
@@ -62,6 +62,12 @@
     /// Number of engines.
     #[arg(long, default_value_t = 18)]
     engines: usize,
+    /// Number of adapters.
+    #[arg(long, default_value_t = 3_000)]
+    adapters: usize,
+    /// Number of concurrent loads that the weight store serves at full speed.
+    #[arg(long, default_value_t = 8.0)]
+    store_full_speed_loads: f64,
     /// Adapter slots per engine.
     #[arg(long, default_value_t = 9)]
     slots: usize,
@@ -133,6 +139,7 @@
             .routing(routing)
             .scheduler(scheduler)
             .useful_objectives(self.useful_objectives)
+            .store_full_speed_loads(self.store_full_speed_loads)
             .build()
     }
 
@@ -142,6 +149,7 @@
             let workload = Workload::builder()
                 .rate(self.rate)
                 .duration(Duration::from_secs(self.seconds))
+                .adapters(self.adapters)
                 .seed(seed)
                 .build();
             thread::spawn(move || Simulation::new(config).run(&workload))
--- a/crates/dogwoodshunt_model/src/simulation.rs
+++ b/crates/dogwoodshunt_model/src/simulation.rs
@@ -97,6 +97,7 @@
     /// Creates an idle fleet whose engines hold no adapter.
     pub fn new(config: FleetConfig) -> Self {
         let start = Instant::now();
+        let weight_store = WeightStore::new(config.store_full_speed_loads);
         let hosts = (0..config.engines)
             .map(|_| Host::new(start, &config))
             .collect();
@@ -118,7 +119,7 @@
             classes: workload::classes(),
             routers,
             hosts,
-            weight_store: WeightStore::default(),
+            weight_store,
             queue: BinaryHeap::new(),
             events: HashMap::new(),
             next_event_number: 0,
@@ -367,7 +368,13 @@
     }
 
     fn on_report_due(&mut self, host_index: usize) {
-        let report = self.hosts[host_index].scheduler.report(self.now());
+        let mut report = self.hosts[host_index].scheduler.report(self.now());
+        if !self.config.report_load_times {
+            let engines = report.upstreams.iter_mut();
+            engines
+                .filter_map(|upstream| upstream.engine.as_mut())
+                .for_each(|engine| engine.load_ms = 0);
+        }
         for entry in 0..self.routers.len() {
             let received = Event::ReportReceived {
                 entry,
--- a/crates/dogwoodshunt_model/src/weight_store.rs
+++ b/crates/dogwoodshunt_model/src/weight_store.rs
@@ -2,10 +2,6 @@
 
 use std::time::Duration;
 
-/// Number of concurrent loads that each get full speed; more loads than this
-/// share the same total bandwidth.
-const MAX_FULL_SPEED_LOADS: f64 = 8.0;
-
 /// Duration of one load at full speed.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 
@@ -24,20 +20,23 @@
 #[derive(Clone, Debug)]
 pub struct WeightStore<T> {
     pending: Vec<PendingLoad<T>>,
+    /// Number of concurrent loads that each get full speed; more loads than this
+    /// share the same total bandwidth.
+    full_speed_loads: f64,
     /// Number of loads started since the store was created.
     pub started_loads: u64,
 }
 
-impl<T: Clone> Default for WeightStore<T> {
-    fn default() -> Self {
+impl<T: Clone> WeightStore<T> {
+    /// Creates a store that serves up to `full_speed_loads` loads at full speed.
+    pub fn new(full_speed_loads: f64) -> Self {
         Self {
             pending: Vec::new(),
+            full_speed_loads,
             started_loads: 0,
         }
     }
-}
 
-impl<T: Clone> WeightStore<T> {
     /// Starts a load.
     pub fn start_load(&mut self, key: T) {
         self.started_loads += 1;
@@ -48,7 +47,7 @@
     /// Advances the store by `elapsed` and returns the loads that have finished.
     pub fn advance(&mut self, elapsed: Duration) -> Vec<T> {
         let count = self.pending.len() as f64;
-        let speed = (MAX_FULL_SPEED_LOADS / count.max(1.0)).min(1.0);
+        let speed = (self.full_speed_loads / count.max(1.0)).min(1.0);
         let progress_s = elapsed.as_secs_f64() * speed;
         for load in &mut self.pending {
             load.remaining_s -= progress_s;
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -32,6 +32,9 @@
 /// Step to which the moving average of run times is rounded down.
 const MEAN_RUN_STEP: Duration = Duration::from_millis(10);
 
+/// Step to which the expected time of a load is rounded down.
+const LOAD_TIME_STEP: Duration = Duration::from_millis(50);
+
 /// Step to which the age of a pending load is rounded down.
 const PENDING_AGE_STEP: Duration = Duration::from_millis(250);
 
@@ -54,20 +57,26 @@
     /// Percentage of recent time, about the last second, that the engine spent on
     /// prefill.
     pub prefill_busy_percent: u8,
+    /// Expected time of an adapter load from the weight store, in milliseconds; 0 if
+    /// unknown.
+    pub load_ms: u32,
+    /// Number of adapter loads that may be in flight.
+    pub load_limit: u8,
 }
 
 /// Encoded form of [`EngineLoad`]: its fields in their order.
-type EngineLoadFields = (u64, u64, u64, u32, u8);
+type EngineLoadFields = (u64, u64, u64, u32, u8, u32, u8);
 
 impl From<EngineLoadFields> for EngineLoad {
     fn from(fields: EngineLoadFields) -> Self {
-        let (pending_prefill, reserved_kv, prefill_tokens_per_second, free_slots, busy) = fields;
         Self {
-            pending_prefill,
-            reserved_kv,
-            prefill_tokens_per_second,
-            free_slots,
-            prefill_busy_percent: busy,
+            pending_prefill: fields.0,
+            reserved_kv: fields.1,
+            prefill_tokens_per_second: fields.2,
+            free_slots: fields.3,
+            prefill_busy_percent: fields.4,
+            load_ms: fields.5,
+            load_limit: fields.6,
         }
     }
 }
@@ -80,6 +89,8 @@
             load.prefill_tokens_per_second,
             load.free_slots,
             load.prefill_busy_percent,
+            load.load_ms,
+            load.load_limit,
         )
     }
 }
@@ -477,9 +488,23 @@
             prefill_tokens_per_second: per_second / RATE_STEP_TOKENS_PER_S * RATE_STEP_TOKENS_PER_S,
             free_slots: saturating_u32(self.count_free_slots(upstream)),
             prefill_busy_percent: (busy_steps.round() * BUSY_PERCENT_STEP) as u8,
+            load_ms: self.expected_load_ms(now, upstream),
+            load_limit: self.load_limit(now, upstream),
         })
     }
 
+    fn expected_load_ms(&self, now: Instant, upstream: &Upstream) -> u32 {
+        let uncontended = self.settings.uncontended_load_time;
+        let expected = upstream.load_window.expected_duration(now, uncontended);
+        let expected = round_down(expected, LOAD_TIME_STEP);
+        u32::try_from(expected.as_millis()).unwrap_or(u32::MAX)
+    }
+
+    fn load_limit(&self, now: Instant, upstream: &Upstream) -> u8 {
+        let max = upstream.limits.max_concurrent_loads;
+        u8::try_from(upstream.load_window.size(now, max)).unwrap_or(u8::MAX)
+    }
+
     fn count_free_slots(&self, upstream: &Upstream) -> usize {
         let idle = upstream.residents.iter().filter(|(adapter, resident)| {
             let unused = resident.state == ResidentState::Ready && resident.pins == 0;
