--- a/crates/dogwoodshunt_runtime/src/tests.rs
+++ b/crates/dogwoodshunt_runtime/src/tests.rs
@@ -1,1 +1,40 @@
 //! Tests of the runtime.
+
+use crate::traffic;
+use std::time::Duration;
+
+/// One request that fails unexpectedly must not stop the others of its process.
+#[test]
+fn task_that_panics_ends_alone_and_drops_what_it_owns() {
+    let (executor, _threads) = traffic::start(1).unwrap();
+    let (held, dropped) = async_channel::bounded::<()>(1);
+    let (progress_tx, progress_rx) = async_channel::unbounded();
+    let before = progress_tx.clone();
+    let other = async move {
+        for step in 0..3 {
+            before.send(step).await.unwrap();
+            smol::Timer::after(Duration::from_millis(20)).await;
+        }
+    };
+    executor.spawn(other).detach();
+    for _ in 0..3 {
+        let held = held.clone();
+        let panics = async move {
+            let _held = held;
+            smol::Timer::after(Duration::from_millis(5)).await;
+            panic!("a task of the test panics");
+        };
+        executor.spawn(panics).detach();
+    }
+    drop((held, progress_tx));
+    smol::block_on(async {
+        let mut steps = 0;
+        while progress_rx.recv().await.is_ok() {
+            steps += 1;
+        }
+        assert_eq!(steps, 3);
+        assert!(dropped.recv().await.is_err());
+        let later = executor.spawn(async { 7 });
+        assert_eq!(later.await, 7);
+    });
+}
