--- a/crates/dogwoodshunt_residency/src/lib.rs
+++ b/crates/dogwoodshunt_residency/src/lib.rs
@@ -22,7 +22,7 @@
 //!
 //! Read [`job`], [`demand`] and [`upstream`] for the state, [`scheduler`] and
 //! [`orders`] for the events, then [`plan`] and `loads` for the decisions, and
-//! [`report`] for the load reports to entries. [`load_budget`], [`load_window`],
+//! [`report`] with `reporting` for the load reports to entries. [`load_budget`], [`load_window`],
 //! [`popularity`], [`prefill_rate`] and [`prefix_index`] hold the estimates and
 //! limits that the decisions use.
 
@@ -38,6 +38,7 @@
 pub mod prefill_rate;
 pub mod prefix_index;
 pub mod report;
+mod reporting;
 pub mod scheduler;
 pub mod settings;
 pub mod upstream;
