Estimate the wait for an adapter by a fixed rate again

Reverts the estimate by measured load times. Cause of the failure: an engine that has just started has measured nothing, so in the first seconds of a small fleet each expects an uncontended load, where the fixed rate of 32 a second is right for a store of eight loads at once.

Left: learn the rate of the store from the loads in flight over all engines, which entries see, and the time that they take.

The model keeps its option for the size of the weight store.

--- a/crates/dogwoodshunt_residency/src/load_window.rs
+++ b/crates/dogwoodshunt_residency/src/load_window.rs
@@ -20,21 +20,12 @@
 /// Such loads take about a tenth of the expected duration.
 const LOCAL_COPY_RATIO: f64 = 0.5;
 
-/// Weight of the newest load in the moving average of durations.
-const DURATION_SMOOTHING: f64 = 0.5;
-
-/// Time in which the difference between recent durations and the expected one is taken to
-/// halve: other engines finish what they load.
-const CONTENTION_HALF_LIFE: Duration = Duration::from_secs(1);
-
 /// Limit on the loads that an engine may have in flight.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct LoadWindow {
     /// Limit without the recovery since the last reset.
     base_size: usize,
     last_reset: Option<Instant>,
-    /// End of the last load from the weight store, and the moving average of durations then.
-    recent_duration: Option<(Instant, Duration)>,
 }
 
 impl LoadWindow {
@@ -68,30 +59,11 @@
         expected: Duration,
         slow_ratio: f64,
     ) {
-        let is_from_store = duration >= expected.mul_f64(LOCAL_COPY_RATIO);
-        if is_from_store {
-            let average = self.expected_duration(now, expected);
-            let average =
-                average.mul_f64(1.0 - DURATION_SMOOTHING) + duration.mul_f64(DURATION_SMOOTHING);
-            self.recent_duration = Some((now, average));
-        }
         let ratio = duration.as_secs_f64() / expected.as_secs_f64().max(f64::EPSILON);
         if ratio >= slow_ratio {
             self.reset(now, 1);
-        } else if is_from_store {
+        } else if ratio >= LOCAL_COPY_RATIO {
             self.base_size += 1;
         }
     }
-
-    /// Returns how long a load from the weight store is expected to take now, by the recent
-    /// loads of this engine. `uncontended` is the duration while the store is not contended.
-    pub fn expected_duration(&self, now: Instant, uncontended: Duration) -> Duration {
-        let Some((at, average)) = self.recent_duration else {
-            return uncontended;
-        };
-        let age = now.saturating_duration_since(at);
-        let half_lives = age.as_secs_f64() / CONTENTION_HALF_LIFE.as_secs_f64();
-        let excess = average.saturating_sub(uncontended);
-        uncontended + excess.mul_f64((-half_lives).exp2())
-    }
 }
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -29,15 +29,10 @@
     /// Percentage of recent time, about the last second, that the engine spent on
     /// prefill.
     pub prefill_busy_percent: u8,
-    /// Expected time of an adapter load from the weight store, in milliseconds; 0 if
-    /// unknown.
-    pub load_ms: u32,
-    /// Number of adapter loads that may be in flight.
-    pub load_limit: u8,
 }
 
 /// Encoded form of [`EngineLoad`]: its fields in their order.
-type EngineLoadFields = (u64, u64, u64, u32, u8, u32, u8);
+type EngineLoadFields = (u64, u64, u64, u32, u8);
 
 impl From<EngineLoadFields> for EngineLoad {
     fn from(fields: EngineLoadFields) -> Self {
@@ -47,8 +42,6 @@
             prefill_tokens_per_second: fields.2,
             free_slots: fields.3,
             prefill_busy_percent: fields.4,
-            load_ms: fields.5,
-            load_limit: fields.6,
         }
     }
 }
@@ -61,8 +54,6 @@
             load.prefill_tokens_per_second,
             load.free_slots,
             load.prefill_busy_percent,
-            load.load_ms,
-            load.load_limit,
         )
     }
 }
--- a/crates/dogwoodshunt_residency/src/reporting.rs
+++ b/crates/dogwoodshunt_residency/src/reporting.rs
@@ -37,9 +37,6 @@
 /// Step to which the age of a pending load is rounded down.
 const PENDING_AGE_STEP: Duration = Duration::from_millis(250);
 
-/// Step to which the expected time of a load is rounded down.
-const LOAD_TIME_STEP: Duration = Duration::from_millis(50);
-
 impl Scheduler {
     /// Returns a report of the current load.
     pub fn report(&self, now: Instant) -> Report {
@@ -107,23 +104,9 @@
             prefill_tokens_per_second: per_second / RATE_STEP_TOKENS_PER_S * RATE_STEP_TOKENS_PER_S,
             free_slots: saturating_u32(self.count_free_slots(upstream)),
             prefill_busy_percent: (busy_steps.round() * BUSY_PERCENT_STEP) as u8,
-            load_ms: self.expected_load_ms(now, upstream),
-            load_limit: self.load_limit(now, upstream),
         })
     }
 
-    fn expected_load_ms(&self, now: Instant, upstream: &Upstream) -> u32 {
-        let uncontended = self.settings.uncontended_load_time;
-        let expected = upstream.load_window.expected_duration(now, uncontended);
-        let expected = round_down(expected, LOAD_TIME_STEP);
-        u32::try_from(expected.as_millis()).unwrap_or(u32::MAX)
-    }
-
-    fn load_limit(&self, now: Instant, upstream: &Upstream) -> u8 {
-        let max = upstream.limits.max_concurrent_loads;
-        u8::try_from(upstream.load_window.size(now, max)).unwrap_or(u8::MAX)
-    }
-
     fn count_free_slots(&self, upstream: &Upstream) -> usize {
         let idle = upstream.residents.iter().filter(|(adapter, resident)| {
             let unused = resident.state == ResidentState::Ready && resident.pins == 0;
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -67,32 +67,6 @@
     }
 }
 
-/// Returns the expected wait until an adapter is ready on an engine, in seconds, given
-/// its `presence` there, or `None` if the engine reports no load time.
-///
-/// The load time is that of the engine's own recent loads, which shows how contended the
-/// weight store is, whatever its size and however many engines share it. The load queues
-/// behind the `pending_loads` of the same engine. A load that is already pending is half
-/// done on average.
-fn engine_load_wait_s(
-    presence: Presence,
-    pending_loads: usize,
-    engine: EngineLoad,
-    settings: &RouterSettings,
-) -> Option<f64> {
-    if engine.load_ms == 0 {
-        return None;
-    }
-    let load_s = f64::from(engine.load_ms) / 1e3;
-    let loads_ahead = pending_loads as f64 / f64::from(engine.load_limit.max(1));
-    Some(match presence {
-        Presence::Ready => 0.0,
-        Presence::Pending => load_s / 2.0,
-        Presence::HostCached => settings.cached_load_time.as_secs_f64(),
-        Presence::Absent => load_s * (1.0 + loads_ahead),
-    })
-}
-
 /// Returns the expected wait until an adapter is ready on an agent, in seconds,
 /// given its `presence` there.
 ///
@@ -153,9 +127,7 @@
             Presence::Absent | Presence::HostCached => slot_wait_s(report, upstream, engine),
             Presence::Pending | Presence::Ready => 0.0,
         };
-        let pending_loads = report.pending_loads.len();
-        let load_wait = engine_load_wait_s(presence, pending_loads, engine, settings);
-        slot_wait + load_wait.unwrap_or_else(|| load_wait_s(presence, pending_load_count, settings))
+        slot_wait + load_wait_s(presence, pending_load_count, settings)
     });
     // The engine prefills the prompts ahead while the adapter is being loaded.
     Some(
