Consider random engines in large fleets only

Cause: with 18 engines the six homes and the engines that hold an adapter are a good part of the fleet; a random one mostly adds loads.

Change: random candidates count from four agents a home, 24 with the settings of the platform. idle_agent_is_found_beside_busy_homes_in_a_large_fleet shows both.

--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -34,6 +34,10 @@
 /// Retry delay reported to a caller when no agent can run its request.
 const NO_AGENT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Number of agents per home of an adapter from which random candidates are considered. In
+/// smaller fleets the homes are a good part of all agents, and a random one only adds loads.
+const MIN_AGENTS_PER_HOME: usize = 4;
+
 /// A request for which the router chooses an agent.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteRequest<'a> {
@@ -337,7 +341,7 @@
     /// Returns the least loaded one of the random candidates that are eligible.
     fn sample(&mut self, now: Instant, req: &RouteRequest<'_>) -> Option<AgentKey> {
         let count = self.agents.len();
-        if count == 0 {
+        if count < self.settings.homes * MIN_AGENTS_PER_HOME {
             return None;
         }
         let draws = (0..self.settings.random_candidates).map(|_| self.rng.random_range(0..count));
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -223,3 +223,47 @@
     // The retry delay is the expected wait.
     assert!(refused.retry_after > Duration::from_secs(5));
 }
+
+/// The homes of an adapter are busy, and one of the other agents is idle.
+#[rstest]
+#[case::large_fleet(40, true)]
+#[case::small_fleet(11, false)]
+fn idle_agent_is_found_beside_busy_homes_in_a_large_fleet(
+    #[case] agents: usize,
+    #[case] is_found: bool,
+) {
+    let now = Instant::now();
+    let mut busy = report(4, &[]);
+    busy.queued = 40;
+    let settings = RouterSettings::builder().random_candidates(2).build();
+    let mut router = Router::new(settings);
+    let target = target("roast");
+    let keys: Vec<AgentKey> = (0..agents)
+        .map(|index| {
+            let key = router.add_agent(format!("host-{index}").into());
+            router.set_usable(key, true);
+            router.on_report(now, key, ReportUpdate::Full(busy.clone()));
+            key
+        })
+        .collect();
+    let route = |router: &mut Router, excluded: &[AgentKey]| {
+        let req = RouteRequest {
+            target: &target,
+            deadline: None,
+            excluded,
+            demand: &Demand::default(),
+        };
+        let key = router.route(now, &req).unwrap();
+        router.on_attempt_end(key, &target);
+        key
+    };
+    // The three homes and all others but one are busy.
+    let mut homes = Vec::new();
+    for _ in 0..3 {
+        homes.push(route(&mut router.clone(), &homes));
+    }
+    let idle = keys.into_iter().find(|key| !homes.contains(key)).unwrap();
+    router.on_report(now, idle, ReportUpdate::Full(report(0, &[])));
+    let found = (0..200).any(|_| route(&mut router, &[]) == idle);
+    assert_eq!(found, is_found);
+}
