Keep departures and pauses while the record of an upstream is gone

An upstream whose record lapses and comes back under the same start time lost the mark that it had announced its departure, and its pause. An agent that learned of a restore before it knew of its own takeover never verified it, and one that started on a store with an era verified once without need.

Change: the list remembers the departure with the removal, pauses are kept for the process of the upstream, and a confirmation of the ownership tells its era.

--- a/crates/dogwoodshunt_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_agent/src/control/mod.rs
@@ -257,7 +257,7 @@
                 let actions = self.scheduler.on_load_end(now, upstream, &adapter, outcome);
                 self.execute(now, actions);
             }
-            ControlEvent::Ownership(Ownership::Owned { epoch }) => {
+            ControlEvent::Ownership(Ownership::Owned { epoch, .. }) => {
                 self.on_ownership_confirmed(epoch)
             }
             ControlEvent::Ownership(Ownership::Superseded) => self.scheduler.set_owned(false),
--- a/crates/dogwoodshunt_agent/src/control/tests.rs
+++ b/crates/dogwoodshunt_agent/src/control/tests.rs
@@ -120,7 +120,7 @@
     control.replica.on_service_read(start, 0);
     control.handle(
         start,
-        ControlEvent::Ownership(Ownership::Owned { epoch: 1 }),
+        ControlEvent::Ownership(Ownership::Owned { epoch: 1, era: 0 }),
     );
     control.tick(start);
     let all_owned = |control: &Control| control.scheduler.upstreams().all(|(_, u)| u.owned);
@@ -133,7 +133,7 @@
     assert!(!all_owned(&control));
     control.handle(
         resumed_at,
-        ControlEvent::Ownership(Ownership::Owned { epoch: 1 }),
+        ControlEvent::Ownership(Ownership::Owned { epoch: 1, era: 0 }),
     );
     assert!(all_owned(&control));
 }
--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -60,8 +60,12 @@
     config: Option<(Revision, EngineConfig)>,
     /// Newest declared version of each adapter.
     declared_versions: HashMap<AdapterName, AdapterRef>,
-    /// Highest era of the key-value service that an entry has announced.
+    /// Highest era of the key-value service that a confirmation of the ownership or an entry
+    /// has shown.
     store_era: StoreEra,
+    /// Highest era in which the ownership was confirmed, or for which a verification was
+    /// requested.
+    verified_era: StoreEra,
     /// Fencing token, while this agent owns the engine.
     epoch: Option<Epoch>,
     /// Number of orders that the engine has accepted since its start, including those
@@ -79,6 +83,7 @@
             config: None,
             declared_versions: HashMap::new(),
             store_era: 0,
+            verified_era: 0,
             epoch: None,
             accepted_orders: 0,
         }
@@ -148,17 +153,25 @@
         self.engine.declared_versions.insert(name, declared);
     }
 
-    /// Verifies the ownership of the engine once for each restore of the key-value service, which
-    /// may have discarded the takeover.
     fn on_store_era(&mut self, era: StoreEra) {
-        let is_restore = era > self.engine.store_era && self.engine.epoch.is_some();
         self.engine.store_era = self.engine.store_era.max(era);
-        if is_restore {
-            info!(self.context.log, "store restored, verifying ownership"; "era" => era);
-            // A verification that is pending already covers this restore: it reads the record
-            // after this point.
-            let _ = self.context.verify_ownership_tx.try_send(());
+        if self.engine.epoch.is_some() {
+            self.verify_after_restore();
+        }
+    }
+
+    /// Verifies the ownership of the engine once for each restore of the key-value service, which
+    /// may have discarded the takeover.
+    fn verify_after_restore(&mut self) {
+        let era = self.engine.store_era;
+        if self.engine.verified_era >= era {
+            return;
         }
+        info!(self.context.log, "store restored, verifying ownership"; "era" => era);
+        self.engine.verified_era = era;
+        // A verification that is pending already covers this restore: it reads the record
+        // after this point.
+        let _ = self.context.verify_ownership_tx.try_send(());
     }
 
     /// Applies a report of the engine; `None` if the engine did not answer.
@@ -234,7 +247,13 @@
 
     pub(super) fn on_ownership(&mut self, ownership: Ownership) {
         self.engine.epoch = match ownership {
-            Ownership::Owned { epoch } => Some(epoch),
+            Ownership::Owned { epoch, era } => {
+                self.engine.verified_era = self.engine.verified_era.max(era);
+                self.engine.store_era = self.engine.store_era.max(era);
+                // Entries may have announced a restore that came after this confirmation.
+                self.verify_after_restore();
+                Some(epoch)
+            }
             Ownership::Superseded => None,
         };
         self.scheduler.set_owned(self.engine.epoch.is_some());
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -85,7 +85,7 @@
     fn owning_named_engine() -> Self {
         let mut agent = Self::new();
         agent.connect_entry("entry", 7);
-        agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 5 }));
+        agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 5, era: 0 }));
         agent.receive_upstream_config(|_| {});
         agent.receive_report(|_| {});
         agent
@@ -286,7 +286,7 @@
     agent.receive_report(|_| {});
     agent.request_run("b", 7);
     assert!(agent.take_sent_orders().is_empty());
-    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 9 }));
+    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 9, era: 0 }));
     let orders = agent.take_sent_orders();
     assert!(!orders.is_empty());
     assert!(orders.iter().all(|order_request| order_request.epoch == 9));
@@ -298,7 +298,7 @@
 fn engine_without_a_matching_upstream_name_gets_no_work(#[case] started: Option<u64>) {
     let mut agent = TestAgent::new();
     agent.connect_entry("entry", 7);
-    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 5 }));
+    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 5, era: 0 }));
     agent.receive_report(|_| {});
     agent.receive_upstream_config(|upstream_config| match started {
         Some(started) => {
@@ -442,7 +442,7 @@
     agent.receive_upstream_config(|upstream_config| upstream_config.store_era = 4);
     assert_eq!(agent.verify_ownership_rx.try_recv(), Ok(()));
     // Orders carry the token of the takeover that was repeated after the restore.
-    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 12 }));
+    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 12, era: 0 }));
     agent.request_run("a", 7);
     assert_eq!(agent.take_sent_orders()[0].epoch, 12);
 }
@@ -510,3 +510,20 @@
     };
     assert!(report_frames(&agent).iter().any(is_full));
 }
+
+#[test]
+fn ownership_is_verified_only_if_the_restore_came_after_its_confirmation() {
+    let mut agent = TestAgent::new();
+    agent.connect_entry("entry", 7);
+    let owned = |era| Event::Ownership(Ownership::Owned { epoch: 5, era });
+    // An entry announces the restore before the takeover, which was answered earlier, is known.
+    agent.receive_upstream_config(|upstream_config| upstream_config.store_era = 4);
+    agent.handle_and_decide(owned(3));
+    assert_eq!(agent.verify_ownership_rx.try_recv(), Ok(()));
+    // One verification for a restore suffices, whatever it shows.
+    for era in [3, 4] {
+        agent.handle_and_decide(owned(era));
+        agent.receive_upstream_config(|upstream_config| upstream_config.store_era = 4);
+    }
+    assert!(agent.verify_ownership_rx.is_empty());
+}
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -86,13 +86,9 @@
                 continue;
             };
             if state.upstream.as_ref() != Some(*upstream) {
-                let known = state.upstream.as_ref();
-                let is_same_process =
-                    known.is_some_and(|u| u.name == upstream.name && u.started == upstream.started);
-                if !is_same_process {
-                    // Another process has not asked for a pause.
-                    self.router.set_paused_until(agent, None);
-                }
+                // Another process has not asked for the pause of the one before.
+                self.router
+                    .set_paused_until(agent, self.pauses.end(upstream));
                 state.upstream = Some((*upstream).clone());
                 self.send_upstream_config(agent);
             }
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -20,6 +20,7 @@
 use crate::connector::Connector;
 use crate::control::agents::AgentState;
 use crate::control::agents::DisconnectCause;
+use crate::control::notices::Pauses;
 use crate::control::placement::GrantedRun;
 use crate::control::placement::PendingPlacement;
 use crate::control::plain_service::RetryBudgets;
@@ -221,6 +222,7 @@
     agents_by_address: HashMap<SocketAddr, AgentKey>,
     registry: UpstreamRegistry,
     pools: HashMap<ServiceName, UpstreamPool>,
+    pauses: Pauses,
     declared_versions: HashMap<AdapterName, AdapterRef>,
     /// Highest era of the store that a listing has shown.
     store_era: StoreEra,
@@ -253,6 +255,7 @@
             agents_by_address: HashMap::new(),
             registry: UpstreamRegistry::default(),
             pools: HashMap::new(),
+            pauses: Pauses::default(),
             declared_versions: HashMap::new(),
             store_era: 0,
             config_era: 0,
--- a/crates/dogwoodshunt_gateway/src/control/notices.rs
+++ b/crates/dogwoodshunt_gateway/src/control/notices.rs
@@ -8,14 +8,47 @@
 use crate::platform::RecordDecoder;
 use crate::platform::UpstreamNotice;
 use dogwoodshunt_routing::AgentKey;
+use dogwoodshunt_serving::registry::ListedUpstream;
 use dogwoodshunt_types::UnixMillis;
+use dogwoodshunt_types::UpstreamName;
 use slog::info;
+use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
 
 /// Longest pause that an upstream can ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(300);
 
+/// Ends of the pauses that upstream processes have asked for. A process keeps its pause
+/// while its record is gone from the list of upstreams.
+#[derive(Debug, Default)]
+pub(super) struct Pauses {
+    ends: HashMap<(UpstreamName, UnixMillis), Instant>,
+}
+
+impl Pauses {
+    /// Adds a pause until `until` and returns the end of all pauses of the process. A shorter
+    /// pause does not end a longer one.
+    fn add(
+        &mut self,
+        now: Instant,
+        upstream: &str,
+        started: UnixMillis,
+        until: Instant,
+    ) -> Instant {
+        self.ends.retain(|_, end| *end > now);
+        let end = self.ends.entry((upstream.into(), started)).or_insert(until);
+        *end = until.max(*end);
+        *end
+    }
+
+    /// Returns the end of the pause of an upstream process, if it has asked for one.
+    pub(super) fn end(&self, upstream: &ListedUpstream) -> Option<Instant> {
+        let process = (upstream.name.clone(), upstream.started);
+        self.ends.get(&process).copied()
+    }
+}
+
 impl<D: RecordDecoder> Control<D> {
     pub(super) fn on_upstream_notice(
         &mut self,
@@ -49,19 +82,14 @@
     ) {
         info!(self.context.log, "upstream paused"; "upstream" => upstream,
             "pause_ms" => pause.as_millis() as u64);
-        let until = now + pause;
+        let until = self.pauses.add(now, upstream, started, now + pause);
         if let Some(pool) = self.pools.get_mut(service) {
             pool.pause(upstream, started, until);
         }
         let Some(agent) = self.agent_of_engine(upstream, started) else {
             return;
         };
-        let paused_until = self
-            .router
-            .agent(agent)
-            .and_then(|agent| agent.paused_until);
-        self.router
-            .set_paused_until(agent, paused_until.max(Some(until)));
+        self.router.set_paused_until(agent, Some(until));
         self.move_pending(now, agent);
     }
 
--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -166,7 +166,7 @@
             }
             let pool = self.pools.entry(service.name.clone()).or_default();
             for upstream in of_service {
-                pool.upsert(upstream);
+                pool.upsert(upstream, self.pauses.end(upstream));
             }
             let is_listed = |name: &str| listed.iter().any(|l| *l.name == *name);
             pool.retain(is_listed);
--- a/crates/dogwoodshunt_gateway/src/tests/notices.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/notices.rs
@@ -4,6 +4,8 @@
 use crate::control::ControlEvent;
 use crate::platform::UpstreamNotice;
 use crate::watch::Topic;
+use dogwoodshunt_border::kv::KeyChange;
+use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_wire::Frame;
 use std::time::Duration;
@@ -127,3 +129,40 @@
     let not_run = entry.select_upstream().unwrap_err();
     assert_eq!(not_run.retry_after, Duration::from_secs(300));
 }
+
+#[test]
+fn pause_outlasts_the_record_of_the_upstream() {
+    let mut entry = TestEntry::new();
+    entry.put_record(Topic::Upstreams, "up/engine-2", "upstream models 2 leaving");
+    let ten_seconds = pause(Duration::from_secs(10));
+    entry.receive_notice("models", "engine-1", ten_seconds);
+    entry.receive_notice("records", "plain-1", ten_seconds);
+    for key in ["up/engine-1", "up/plain-1"] {
+        let change = KeyChange::Deleted {
+            key: key.into(),
+            revision: 9,
+        };
+        entry.handle(ControlEvent::StoreChanged {
+            topic: Topic::Upstreams,
+            changes: vec![change],
+        });
+    }
+    entry.put_record(Topic::Upstreams, "up/engine-1", "upstream models 1 ready");
+    entry.put_record(Topic::Upstreams, "up/plain-1", "upstream records 9 ready");
+    let reason = |not_run: NotRun| not_run.reason;
+    let selected = entry.select_upstream().map_err(reason);
+    assert_eq!(selected.err(), Some(NotRunReason::Paused));
+    let (_, grant_rx) = entry.place("a");
+    let granted = grant_rx.try_recv().unwrap().map_err(reason);
+    assert_eq!(granted.err(), Some(NotRunReason::Paused));
+}
+
+#[test]
+fn shorter_pause_does_not_end_a_longer_one() {
+    let mut entry = TestEntry::new();
+    for seconds in [10, 2] {
+        entry.receive_notice("records", "plain-1", pause(Duration::from_secs(seconds)));
+    }
+    let not_run = entry.select_upstream().unwrap_err();
+    assert_eq!(not_run.retry_after, Duration::from_secs(10));
+}
--- a/crates/dogwoodshunt_runtime/src/ownership.rs
+++ b/crates/dogwoodshunt_runtime/src/ownership.rs
@@ -8,6 +8,7 @@
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::NodeId;
+use dogwoodshunt_types::StoreEra;
 use rand::RngExt;
 use slog::Logger;
 use slog::info;
@@ -26,6 +27,8 @@
     Owned {
         /// Fencing token of the orders of this process.
         epoch: Epoch,
+        /// Era of the key-value service in which the ownership was last confirmed.
+        era: StoreEra,
     },
     /// Another process has taken over the upstreams.
     Superseded,
@@ -58,8 +61,7 @@
             // A predecessor that still runs stops sending orders within this time.
             Timer::after(self.predecessor_timeout).await;
         }
-        self.send_event(Ownership::Owned { epoch: held.epoch })
-            .await;
+        self.send_owned(&held).await;
         while verify_requests.recv().await.is_ok() {
             let Some(confirmed) = self.verify(&held).await else {
                 warn!(self.log, "superseded"; "epoch" => held.epoch);
@@ -71,8 +73,7 @@
                     "before" => held.epoch, "era" => confirmed.era);
             }
             held = confirmed;
-            self.send_event(Ownership::Owned { epoch: held.epoch })
-                .await;
+            self.send_owned(&held).await;
         }
     }
 
@@ -101,6 +102,11 @@
         }
     }
 
+    async fn send_owned(&self, held: &ownership::Ownership) {
+        let (epoch, era) = (held.epoch, held.era);
+        self.send_event(Ownership::Owned { epoch, era }).await;
+    }
+
     async fn send_event(&self, ownership: Ownership) {
         let _ = self.events.send(ownership.into()).await;
     }
--- a/crates/dogwoodshunt_serving/src/pool.rs
+++ b/crates/dogwoodshunt_serving/src/pool.rs
@@ -88,9 +88,9 @@
 }
 
 impl UpstreamPool {
-    /// Adds an upstream, or updates the address and state of a known one. A restarted upstream
-    /// has forgotten that it asked for a pause.
-    pub fn upsert(&mut self, listed: &ListedUpstream) {
+    /// Adds an upstream, or updates the address and state of a known one. It gets no calls
+    /// until `paused_until`, if it has asked for a pause.
+    pub fn upsert(&mut self, listed: &ListedUpstream, paused_until: Option<Instant>) {
         let member = self
             .members
             .entry(listed.name.clone())
@@ -99,25 +99,23 @@
                 domain: listed.domain.clone(),
                 leaving: listed.leaving,
                 started: listed.started,
-                paused_until: None,
+                paused_until,
                 in_flight: 0,
                 failure_rate: 0.0,
                 last_outcome_at: None,
             });
         member.address = listed.address;
         member.leaving = listed.leaving;
-        if member.started != listed.started {
-            member.started = listed.started;
-            member.paused_until = None;
-        }
+        member.started = listed.started;
+        member.paused_until = paused_until;
     }
 
     /// Gives the upstream no calls until `until`, as the process that started at `started` has
-    /// asked. A shorter pause does not end a longer one.
+    /// asked.
     pub fn pause(&mut self, name: &str, started: UnixMillis, until: Instant) {
         let member = self.members.get_mut(name);
         if let Some(member) = member.filter(|member| member.started == started) {
-            member.paused_until = member.paused_until.max(Some(until));
+            member.paused_until = Some(until);
         }
     }
 
--- a/crates/dogwoodshunt_serving/src/registry.rs
+++ b/crates/dogwoodshunt_serving/src/registry.rs
@@ -54,6 +54,8 @@
 #[derive(Clone, Copy, Debug)]
 struct RemovedUpstream {
     started: UnixMillis,
+    /// Whether the process was leaving.
+    leaving: bool,
     removed_at: Instant,
     /// StoreEra of the store in which the record was removed.
     era: StoreEra,
@@ -131,12 +133,15 @@
 
     /// Adds or updates one upstream that has written its record.
     pub fn on_upstream_listed(&mut self, mut listed: ListedUpstream) {
-        self.removed.remove(&listed.name);
+        let removed = self.removed.remove(&listed.name);
+        let removed = removed.map(|removed| (removed.started, removed.leaving));
         let known = self.known.get(&listed.name);
-        listed.leaving |= known.is_some_and(|known| {
-            let is_same_process = known.listed.started == listed.started && listed.started != 0;
-            is_same_process && known.listed.leaving
-        });
+        let known = known.map(|known| (known.listed.started, known.listed.leaving));
+        // A start time of 0 tells no process from its successor.
+        let is_same_process = |started| started == listed.started && started != 0;
+        listed.leaving |= known
+            .or(removed)
+            .is_some_and(|(started, leaving)| leaving && is_same_process(started));
         let known = KnownUpstream {
             listed,
             expires_at: None,
@@ -147,6 +152,9 @@
     /// Marks the upstream process that started at `started` as leaving, since it has said so
     /// itself. Returns whether that was new.
     pub fn on_leaving_announced(&mut self, name: &str, started: UnixMillis) -> bool {
+        if let Some(removed) = self.removed.get_mut(name) {
+            removed.leaving |= removed.started == started;
+        }
         let known = self.known.get_mut(name);
         let Some(known) = known.filter(|known| known.listed.started == started) else {
             return false;
@@ -182,6 +190,7 @@
         });
         let removed = RemovedUpstream {
             started: known.listed.started,
+            leaving: known.listed.leaving,
             removed_at: now,
             era: self.era,
         };
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -162,10 +162,11 @@
 fn pool(domains: &[&str]) -> UpstreamPool {
     let mut pool = UpstreamPool::default();
     for (index, domain) in domains.iter().enumerate() {
-        pool.upsert(&ListedUpstream {
+        let listed = ListedUpstream {
             domain: (*domain).into(),
             ..listed_upstream(&format!("u{index}"))
-        });
+        };
+        pool.upsert(&listed, None);
     }
     pool
 }
@@ -200,10 +201,11 @@
 fn leaving_upstream_gets_no_calls() {
     let now = Instant::now();
     let mut pool = pool(&["a"]);
-    pool.upsert(&ListedUpstream {
+    let listed = ListedUpstream {
         leaving: true,
         ..listed_upstream("u0")
-    });
+    };
+    pool.upsert(&listed, None);
     assert_eq!(pool.pick(now, "a", &[]).err(), Some(PickError::NoUpstream));
     assert!(pool.has_none_available());
 }
@@ -212,10 +214,9 @@
 fn upstream_that_asked_for_a_pause_gets_no_calls_until_the_pause_ends() {
     let now = Instant::now();
     let mut pool = pool(&["a", "b"]);
-    pool.pause("u0", 1, now + Duration::from_secs(5));
-    pool.pause("u0", 1, now + Duration::from_secs(2));
-    // Listing the same process again does not end its pause.
-    pool.upsert(&listed_upstream("u0"));
+    let until = now + Duration::from_secs(5);
+    pool.pause("u0", 1, until);
+    pool.upsert(&listed_upstream("u0"), Some(until));
     for _ in 0..20 {
         assert_eq!(&*pool.pick(now, "a", &[]).unwrap().0, "u1");
     }
@@ -253,7 +254,7 @@
         started: 2,
         ..listed_upstream("u0")
     };
-    pool.upsert(&restarted);
+    pool.upsert(&restarted, None);
     assert!(pool.pick(now, "a", &[]).is_ok());
     // A late answer of the process before does not pause its successor.
     pool.pause("u0", 1, now + Duration::from_secs(5));
@@ -352,3 +353,21 @@
     let shortest = admission::retry_after(Duration::ZERO, useful_wait, 0.0);
     assert_eq!(shortest, Duration::from_millis(200));
 }
+
+#[rstest]
+#[case::announced_before_the_removal(true)]
+#[case::announced_after_the_removal(false)]
+fn departure_is_remembered_while_the_record_of_the_upstream_is_gone(#[case] before: bool) {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::default();
+    registry.on_upstream_listed(listed_upstream("u0"));
+    if before {
+        registry.on_leaving_announced("u0", 1);
+    }
+    registry.on_upstream_removed(now, "u0");
+    if !before {
+        registry.on_leaving_announced("u0", 1);
+    }
+    registry.on_upstream_listed(listed_upstream("u0"));
+    assert!(registry.upstreams().next().unwrap().leaving);
+}
