--- a/crates/dogwoodshunt_border/src/kv/mod.rs
+++ b/crates/dogwoodshunt_border/src/kv/mod.rs
@@ -17,7 +17,7 @@
 /// State of the service after a change. Positions are ordered by era, then by revision.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct StorePosition {
-    /// StoreEra in which the revision was assigned.
+    /// Era in which the revision was assigned.
     pub era: StoreEra,
     /// Revision of the service.
     pub revision: i64,
@@ -32,7 +32,7 @@
     pub value: Vec<u8>,
     /// Revision of the last change of the key.
     pub mod_revision: i64,
-    /// StoreEra of the service when the record was read.
+    /// Era of the service when the record was read.
     pub era: StoreEra,
 }
 
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -16,9 +16,9 @@
 use crate::metrics::Metrics;
 use crate::metrics::RouteOutcomeLabels;
 use crate::metrics::ServiceOutcomeLabels;
+use crate::platform::Announcement;
 use crate::platform::Dispatch;
 use crate::platform::UpstreamClient;
-use crate::platform::UpstreamNotice;
 use async_channel::Sender;
 use bytes::Bytes;
 use dogwoodshunt_border::http::ResponseBody;
@@ -287,15 +287,20 @@
 
     /// Passes what an upstream has announced to the control thread, before the caller
     /// gets the response and before the next request is placed.
-    fn report_notice(&self, service: &ServiceName, dispatch: &Dispatch, notice: UpstreamNotice) {
-        if notice == UpstreamNotice::default() {
+    fn report_announcement(
+        &self,
+        service: &ServiceName,
+        dispatch: &Dispatch,
+        announcement: Announcement,
+    ) {
+        if announcement == Announcement::default() {
             return;
         }
-        let event = ControlEvent::UpstreamNotice {
+        let event = ControlEvent::UpstreamAnnounced {
             service: service.clone(),
             upstream: dispatch.upstream.clone(),
             started: dispatch.started,
-            notice,
+            announcement,
         };
         // The channel is unbounded and closes only while the process exits.
         let _ = self.events.try_send(event);
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -291,7 +291,11 @@
                 ("lost", Err(SendFailure::MayHaveRun(message)))
             }
             Some(Ok(upstream_response)) => {
-                self.report_notice(&routed.service, &dispatch, upstream_response.notice);
+                self.report_announcement(
+                    &routed.service,
+                    &dispatch,
+                    upstream_response.announcement,
+                );
                 (
                     upstream_response.execution_status.as_str(),
                     classify_response(upstream_response, guard),
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -221,7 +221,7 @@
             Err(SendError::NotSent { message, .. }) => return SendOutcome::Unreached(message),
             Err(SendError::Lost { message, .. }) => return SendOutcome::MayHaveRun(message),
         };
-        self.report_notice(&routed.service, dispatch, upstream_response.notice);
+        self.report_announcement(&routed.service, dispatch, upstream_response.announcement);
         let mut exchange = upstream_response.exchange;
         match upstream_response.execution_status {
             ExecutionStatus::RefusedFull | ExecutionStatus::Misdirected => SendOutcome::Refused,
--- a/crates/dogwoodshunt_gateway/src/control/notices.rs
+++ b/crates/dogwoodshunt_gateway/src/control/announcements.rs
@@ -5,8 +5,8 @@
 //! however often connections to it are opened anew.
 
 use crate::control::Control;
+use crate::platform::Announcement;
 use crate::platform::RecordDecoder;
-use crate::platform::UpstreamNotice;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_serving::registry::ListedUpstream;
 use dogwoodshunt_types::UnixMillis;
@@ -50,15 +50,15 @@
 }
 
 impl<D: RecordDecoder> Control<D> {
-    pub(super) fn on_upstream_notice(
+    pub(super) fn on_announcement(
         &mut self,
         now: Instant,
         service: &str,
         upstream: &str,
         started: UnixMillis,
-        notice: UpstreamNotice,
+        announcement: Announcement,
     ) {
-        if notice.leaving && self.registry.on_leaving_announced(upstream, started) {
+        if announcement.leaving && self.registry.on_leaving_announced(upstream, started) {
             info!(self.context.log, "upstream leaving"; "upstream" => upstream,
                 "source" => "its response");
             let agent = self.agent_of_engine(upstream, started);
@@ -67,7 +67,7 @@
                 .into_iter()
                 .for_each(|agent| self.move_pending(now, agent));
         }
-        if let Some(pause) = notice.pause {
+        if let Some(pause) = announcement.pause {
             self.pause_upstream(now, service, upstream, started, pause.min(MAX_PAUSE));
         }
     }
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -2,12 +2,12 @@
 //!
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
 //! engines, `store` applies the records of the platform's store, `placement`
-//! places model requests on engines, `notices` applies what upstreams announce in
+//! places model requests on engines, `announcements` applies what upstreams announce in
 //! their responses, and `plain_service` selects upstreams of
 //! plain services, which have no engines.
 
 mod agents;
-mod notices;
+mod announcements;
 mod placement;
 mod plain_service;
 pub mod shared_state;
@@ -20,15 +20,15 @@
 use crate::connector::Connector;
 use crate::control::agents::AgentState;
 use crate::control::agents::DisconnectCause;
-use crate::control::notices::Pauses;
+use crate::control::announcements::Pauses;
 use crate::control::placement::GrantedRun;
 use crate::control::placement::PendingPlacement;
 use crate::control::plain_service::RetryBudgets;
 use crate::control::shared_state::SharedState;
 use crate::metrics::Metrics;
 use crate::metrics::StoreOutcomeLabels;
+use crate::platform::Announcement;
 use crate::platform::RecordDecoder;
-use crate::platform::UpstreamNotice;
 use crate::watch::Topic;
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -162,7 +162,7 @@
         retry_slack: f64,
     },
     /// An upstream has announced something about itself in a response.
-    UpstreamNotice {
+    UpstreamAnnounced {
         /// Service of the upstream.
         service: ServiceName,
         /// Name of the upstream.
@@ -170,7 +170,7 @@
         /// Start time of the upstream process that the request was sent to.
         started: UnixMillis,
         /// The announcement.
-        notice: UpstreamNotice,
+        announcement: Announcement,
     },
     /// The process has been told to stop.
     Stop,
@@ -226,7 +226,7 @@
     declared_versions: HashMap<AdapterName, AdapterRef>,
     /// Highest era of the store that a listing has shown.
     store_era: StoreEra,
-    /// StoreEra of the store in which the configuration in force was read.
+    /// Era of the store in which the configuration in force was read.
     config_era: StoreEra,
     retry_budgets: RetryBudgets,
     pending: HashMap<PlacementId, PendingPlacement>,
@@ -334,12 +334,12 @@
                 retry_ratio,
                 retry_slack,
             } => self.retry_budgets.set_limits(retry_ratio, retry_slack),
-            ControlEvent::UpstreamNotice {
+            ControlEvent::UpstreamAnnounced {
                 service,
                 upstream,
                 started,
-                notice,
-            } => self.on_upstream_notice(now, &service, &upstream, started, notice),
+                announcement,
+            } => self.on_announcement(now, &service, &upstream, started, announcement),
             ControlEvent::Stop => self.shutting_down = true,
             ControlEvent::StoreReachable(topic) => {
                 self.count_store_request(topic, "answered");
--- a/crates/dogwoodshunt_gateway/src/platform.rs
+++ b/crates/dogwoodshunt_gateway/src/platform.rs
@@ -94,7 +94,7 @@
 
 /// What an upstream announces about itself in the head of a response.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct UpstreamNotice {
+pub struct Announcement {
     /// Whether the upstream is leaving and wants no new requests.
     pub leaving: bool,
     /// Time for which the upstream wants no further requests from this entry.
@@ -106,7 +106,7 @@
     /// Whether the upstream executes the call.
     pub execution_status: ExecutionStatus,
     /// What the upstream announces about itself.
-    pub notice: UpstreamNotice,
+    pub announcement: Announcement,
     /// Exchange from which the body of the response is read.
     pub exchange: Exchange,
 }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the control state, without network connections.
 
-mod notices;
+mod announcements;
 mod overview;
 mod restore;
 mod sse;
--- a/crates/dogwoodshunt_gateway/src/tests/notices.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/announcements.rs
@@ -2,7 +2,7 @@
 
 use super::TestEntry;
 use crate::control::ControlEvent;
-use crate::platform::UpstreamNotice;
+use crate::platform::Announcement;
 use crate::watch::Topic;
 use dogwoodshunt_border::kv::KeyChange;
 use dogwoodshunt_types::NotRun;
@@ -10,25 +10,25 @@
 use dogwoodshunt_wire::Frame;
 use std::time::Duration;
 
-const LEAVING: UpstreamNotice = UpstreamNotice {
+const LEAVING: Announcement = Announcement {
     leaving: true,
     pause: None,
 };
 
-fn pause(pause: Duration) -> UpstreamNotice {
-    UpstreamNotice {
+fn pause(pause: Duration) -> Announcement {
+    Announcement {
         leaving: false,
         pause: Some(pause),
     }
 }
 
 impl TestEntry {
-    fn receive_notice(&mut self, service: &str, upstream: &str, notice: UpstreamNotice) {
-        self.handle(ControlEvent::UpstreamNotice {
+    fn receive_announcement(&mut self, service: &str, upstream: &str, announcement: Announcement) {
+        self.handle(ControlEvent::UpstreamAnnounced {
             service: service.into(),
             upstream: upstream.into(),
             started: 1,
-            notice,
+            announcement,
         });
     }
 }
@@ -36,7 +36,7 @@
 #[test]
 fn plain_upstream_that_announces_its_departure_gets_no_calls_whatever_is_listed() {
     let mut entry = TestEntry::new();
-    entry.receive_notice("records", "plain-1", LEAVING);
+    entry.receive_announcement("records", "plain-1", LEAVING);
     assert!(entry.select_upstream().is_err());
     entry.put_record(Topic::Upstreams, "up/plain-1", "upstream records 9 ready");
     assert!(entry.select_upstream().is_err());
@@ -45,7 +45,7 @@
 #[test]
 fn engine_that_announces_its_departure_gets_no_requests() {
     let mut entry = TestEntry::new();
-    entry.receive_notice("models", "engine-1", LEAVING);
+    entry.receive_announcement("models", "engine-1", LEAVING);
     let leaving = entry.agents[0].0;
     for _ in 0..20 {
         let (_, _grant_rx) = entry.place("a");
@@ -67,7 +67,7 @@
     } else {
         "engine-2"
     };
-    entry.receive_notice("models", engine, LEAVING);
+    entry.receive_announcement("models", engine, LEAVING);
     let sent = entry.take_sent_frames();
     let is_withdrawn = sent.iter().any(|(to, frame)| {
         *to == agent
@@ -86,7 +86,7 @@
 #[test]
 fn engine_that_asks_for_a_pause_gets_no_requests_until_its_end_also_after_a_reconnect() {
     let mut entry = TestEntry::new();
-    entry.receive_notice("models", "engine-1", pause(Duration::from_secs(10)));
+    entry.receive_announcement("models", "engine-1", pause(Duration::from_secs(10)));
     let paused = entry.agents[0].0;
     entry.handle(ControlEvent::AgentDisconnected { agent: paused });
     entry.agents.retain(|(known, _)| *known != paused);
@@ -114,7 +114,7 @@
 fn restarted_engine_gets_requests_in_spite_of_the_pause_before() {
     let mut entry = TestEntry::new();
     entry.put_record(Topic::Upstreams, "up/engine-2", "upstream models 2 leaving");
-    entry.receive_notice("models", "engine-1", pause(Duration::from_secs(10)));
+    entry.receive_announcement("models", "engine-1", pause(Duration::from_secs(10)));
     let (_, grant_rx) = entry.place("a");
     assert!(grant_rx.try_recv().unwrap().is_err());
     entry.put_record(Topic::Upstreams, "up/engine-3", "upstream models 1 ready");
@@ -125,7 +125,7 @@
 #[test]
 fn pause_without_an_end_is_bounded() {
     let mut entry = TestEntry::new();
-    entry.receive_notice("records", "plain-1", pause(Duration::MAX));
+    entry.receive_announcement("records", "plain-1", pause(Duration::MAX));
     let not_run = entry.select_upstream().unwrap_err();
     assert_eq!(not_run.retry_after, Duration::from_secs(300));
 }
@@ -135,8 +135,8 @@
     let mut entry = TestEntry::new();
     entry.put_record(Topic::Upstreams, "up/engine-2", "upstream models 2 leaving");
     let ten_seconds = pause(Duration::from_secs(10));
-    entry.receive_notice("models", "engine-1", ten_seconds);
-    entry.receive_notice("records", "plain-1", ten_seconds);
+    entry.receive_announcement("models", "engine-1", ten_seconds);
+    entry.receive_announcement("records", "plain-1", ten_seconds);
     for key in ["up/engine-1", "up/plain-1"] {
         let change = KeyChange::Deleted {
             key: key.into(),
@@ -161,7 +161,7 @@
 fn shorter_pause_does_not_end_a_longer_one() {
     let mut entry = TestEntry::new();
     for seconds in [10, 2] {
-        entry.receive_notice("records", "plain-1", pause(Duration::from_secs(seconds)));
+        entry.receive_announcement("records", "plain-1", pause(Duration::from_secs(seconds)));
     }
     let not_run = entry.select_upstream().unwrap_err();
     assert_eq!(not_run.retry_after, Duration::from_secs(10));
--- a/crates/dogwoodshunt_serving/src/registry.rs
+++ b/crates/dogwoodshunt_serving/src/registry.rs
@@ -57,7 +57,7 @@
     /// Whether the process was leaving.
     leaving: bool,
     removed_at: Instant,
-    /// StoreEra of the store in which the record was removed.
+    /// Era of the store in which the record was removed.
     era: StoreEra,
 }
 
