--- a/crates/dogwoodshunt_store/src/ownership.rs
+++ b/crates/dogwoodshunt_store/src/ownership.rs
@@ -2,7 +2,7 @@
 //! raises.
 //!
 //! The token is the position of the ownership record: the era of the key-value service in the high
-//! bits and the revision of the record in the low [`REVISION_BITS`]. Within an era the service assigns each
+//! bits and the revision of the record in the low 40 bits. Within an era the service assigns each
 //! revision once, so no two takeovers share a token and a later one has a higher token. A restore of
 //! the service may discard a takeover and assign its revision again; the higher era keeps the new
 //! tokens above all earlier ones.
