Allow an equal revision of a configuration after a restore only

The invariant had been relaxed to admit any equal revision; it now names the one case. Behaviour is the same, as other equal revisions are ignored before it. The test plays a configuration that operators write under a discarded revision.

--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -112,7 +112,7 @@
             "before" => current_revision, "routes" => config.routes.len());
         let is_newer = invariant::check(
             Invariant::RevisionNeverReverts,
-            config.revision >= current_revision,
+            config.revision > current_revision || replaces_discarded,
             &format_args!("{} after {current_revision}", config.revision),
         );
         if is_newer {
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -57,7 +57,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Decodes records of the form `config NUMBER`, `version ADAPTER@VERSION` and
+/// Decodes records of the form `config NUMBER [other]`, `version ADAPTER@VERSION` and
 /// `upstream SERVICE HOST STATE`.
 struct TestDecoder;
 
@@ -70,6 +70,11 @@
         let words: Vec<&str> = text.split(' ').collect();
         match words[..] {
             ["config", number] => DecodedRecord::Config(Box::new(config(number.parse().unwrap()))),
+            ["config", number, "other"] => {
+                let mut config = config(number.parse().unwrap());
+                config.services[0].max_connections += 1;
+                DecodedRecord::Config(Box::new(config))
+            }
             ["version", adapter] => DecodedRecord::Version(AdapterRef::parse(adapter).unwrap()),
             ["upstream", service, host, state] => DecodedRecord::Upstream(ListedUpstream {
                 name: self.upstream_name(&record.key),
--- a/crates/dogwoodshunt_gateway/src/tests/restore.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/restore.rs
@@ -180,3 +180,17 @@
         [position(1, 50), position(1, 60), position(2, 40)]
     );
 }
+
+/// A restore may discard a configuration, whose revision operators then use again.
+#[test]
+fn configuration_under_a_discarded_revision_replaces_it_only_after_a_restore() {
+    let mut entry = TestEntry::new();
+    let routes = |entry: &TestEntry| entry.shared_state.routes().unwrap();
+    entry.put_record(Topic::Operator, "op/config", "config 5");
+    let discarded = routes(&entry);
+    entry.receive_listing(Topic::Operator, 0, &[("op/config", "config 5 other")]);
+    assert_eq!(routes(&entry).config(), discarded.config());
+    entry.receive_listing(Topic::Operator, 1, &[("op/config", "config 5 other")]);
+    assert_ne!(routes(&entry).config(), discarded.config());
+    assert_eq!(routes(&entry).config().revision, 5);
+}
