Log how a stream was framed and whether it ended inside an event

`stream ended` now says how the response was framed and whether its bytes ended inside an event. A scanner of the boundaries of events, shared by both interfaces, reads the bytes; it changes nothing that callers get.

--- a/crates/dogwoodshunt_border/src/http/connection_pool.rs
+++ b/crates/dogwoodshunt_border/src/http/connection_pool.rs
@@ -64,6 +64,39 @@
     },
 }
 
+/// How the end of a response body is marked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BodyFraming {
+    /// The last chunk marks the end.
+    Chunked,
+    /// The body ends with its connection, so that a body cut short looks complete.
+    Connection,
+    /// The head states the length.
+    Length,
+}
+
+impl BodyFraming {
+    /// Returns the framing that the headers of a response state.
+    pub fn from_headers(headers: &HeaderMap) -> Self {
+        if headers.contains_key(hyper::header::TRANSFER_ENCODING) {
+            Self::Chunked
+        } else if headers.contains_key(hyper::header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Connection
+        }
+    }
+
+    /// Returns the name of the framing in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Chunked => "chunked",
+            Self::Connection => "connection",
+            Self::Length => "length",
+        }
+    }
+}
+
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     idle_until: Instant,
@@ -235,6 +268,11 @@
 }
 
 impl Exchange {
+    /// Returns how the end of the body is marked.
+    pub fn framing(&self) -> BodyFraming {
+        BodyFraming::from_headers(&self.headers)
+    }
+
     /// Returns the next chunk of the body, or `None` once the body is complete.
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
--- a/crates/dogwoodshunt_border/src/http/mod.rs
+++ b/crates/dogwoodshunt_border/src/http/mod.rs
@@ -9,9 +9,11 @@
 pub mod client;
 pub mod connection_pool;
 pub mod server;
+pub mod sse;
 
 pub use crate::http::body::ResponseBody;
 pub use crate::http::client::Client;
 pub use crate::http::client::HttpError;
+pub use crate::http::connection_pool::BodyFraming;
 pub use crate::http::connection_pool::ConnectionPool;
 pub use crate::http::connection_pool::Exchange;
--- a/crates/dogwoodshunt_border/src/tests.rs
+++ b/crates/dogwoodshunt_border/src/tests.rs
@@ -1,6 +1,7 @@
-//! Tests of reading bodies and of the connection pool.
+//! Tests of reading bodies, of the connection pool and of event streams.
 
 mod connection_pool;
+mod sse;
 
 use crate::http::body;
 use crate::http::body::BodyError;
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -94,7 +94,8 @@
         let sent = history.sent;
         match engine_response {
             Ok(engine_response) => {
-                let stats = StreamStats::new(engine_response.granted_at, routed, self);
+                let framing = engine_response.exchange.framing();
+                let stats = StreamStats::new(engine_response.granted_at, routed, self, framing);
                 let upstream = Some(engine_response.upstream);
                 let response = CallResponse::Upstream {
                     status: engine_response.exchange.status,
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -16,10 +16,12 @@
 use crate::metrics::RouteOutcomeLabels;
 use crate::platform::UpstreamClient;
 use bytes::Bytes;
+use dogwoodshunt_border::http::BodyFraming;
 use dogwoodshunt_border::http::Exchange;
 use dogwoodshunt_border::http::ResponseBody;
 use dogwoodshunt_border::http::body;
 use dogwoodshunt_border::http::body::BodyError;
+use dogwoodshunt_border::http::sse::EventScanner;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -65,6 +67,10 @@
     resume_count: u32,
     /// Value of the `outcome` label in metrics.
     outcome: &'static str,
+    /// Framing of the latest response.
+    framing: BodyFraming,
+    /// Boundaries of the events of the latest response.
+    events: EventScanner,
     route: Box<str>,
     shared_state: Arc<SharedState>,
     metrics: Metrics,
@@ -73,7 +79,12 @@
 
 impl StreamStats {
     /// Starts the measurements of a request for which a run was granted at `now`.
-    pub(super) fn new<U>(now: Instant, routed: &RoutedCall, handler: &CallHandler<U>) -> Self {
+    pub(super) fn new<U>(
+        now: Instant,
+        routed: &RoutedCall,
+        handler: &CallHandler<U>,
+        framing: BodyFraming,
+    ) -> Self {
         Self {
             id: routed.call.id.clone(),
             arrived: routed.call.arrived,
@@ -83,6 +94,8 @@
             longest_event_gap: Duration::ZERO,
             resume_count: 0,
             outcome: "caller-left",
+            framing,
+            events: EventScanner::default(),
             route: routed.route.name.clone(),
             shared_state: handler.shared_state.clone(),
             metrics: handler.metrics.clone(),
@@ -138,6 +151,7 @@
             "granted_ms" => millis(self.granted_after),
             "first_ms" => self.first_event_after.map(millis).unwrap_or(0),
             "resumed" => self.resume_count, "pause_ms" => millis(self.longest_event_gap),
+            "framing" => self.framing.as_str(), "inside_event" => self.events.is_inside_event(),
             "took_ms" => millis(duration));
     }
 }
@@ -200,6 +214,7 @@
         if self.relay.stats.first_event_after.is_none() || self.relay.stats.resume_count > 0 {
             self.relay.guard.report_first_byte();
         }
+        self.relay.stats.events.advance(bytes);
         let whole = match &mut self.splitter {
             Some(splitter) => splitter.push(bytes).map_err(|error| BodyError {
                 reason: error.to_string().into(),
@@ -233,6 +248,8 @@
             if let Ok(engine_response) = engine_response
                 && engine_response.exchange.status.is_success()
             {
+                relay.stats.framing = engine_response.exchange.framing();
+                relay.stats.events = EventScanner::default();
                 relay.exchange = engine_response.exchange;
                 relay.guard = engine_response.guard;
                 relay.stats.resume_count += 1;
