Add failing tests for streams that are cut with their connection

The tests play an engine, a plain service and a service behind an agent that send neither length nor chunks and end the connection inside an event or before the first one.

--- a/crates/dogwoodshunt_agent/src/tests.rs
+++ b/crates/dogwoodshunt_agent/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the response buffer and of the splitter of server-sent events.
 
+mod service_streams;
+
 use crate::response_buffer::ResponseBuffer;
 use crate::sse::EventSplitter;
 use async_channel::Receiver;
