Take an event stream for whole only if it ends between events

An engine that fails while it sends a body with neither length nor chunks ends the connection, and for HTTP that is the end of such a body: the relay got no error and closed its own chunked body as complete.

The events tell a cut stream from a whole one. A stream that ends inside an event, however framed, and one that ends with its connection before its first event, are now broken off: resumed where the route allows it, else the caller's connection ends without the last chunk. One check in the border serves both interfaces: streams of engines and responses of plain services at the gateway, streams of services at the agent. Streams of engines at the agent were safe, since they need their final event.

--- a/crates/dogwoodshunt_agent/src/run.rs
+++ b/crates/dogwoodshunt_agent/src/run.rs
@@ -9,6 +9,7 @@
 use dogwoodshunt_border::generated::openai::AnswerModel;
 use dogwoodshunt_border::http::Client;
 use dogwoodshunt_border::http::HttpError;
+use dogwoodshunt_border::http::StreamEndCheck;
 use dogwoodshunt_border::http::body;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::job::RunOutcome;
@@ -165,6 +166,7 @@
             ran: self.submit.target.to_string().into(),
         };
         let is_success = response.status().is_success();
+        let end_check = StreamEndCheck::new(response.headers(), false);
         match &self.submit.target {
             Target::Adapter { .. } | Target::BaseModel(_) if is_success && is_stream => {
                 self.relay_events(head, response.into_body()).await
@@ -173,7 +175,10 @@
                 self.relay_buffered(head, response.into_body(), is_success)
                     .await
             }
-            Target::Service(_) => self.relay_bytes(head, response.into_body()).await,
+            Target::Service(_) => {
+                self.relay_bytes(head, response.into_body(), end_check)
+                    .await
+            }
         }
     }
 
@@ -230,14 +235,22 @@
         ))
     }
 
-    /// Relays the response of a service unchecked, as the bytes arrive.
-    async fn relay_bytes(&self, head: ResponseHead, incoming: Incoming) -> Result<(), RelayError> {
-        let mut incoming = incoming;
+    /// Relays the response of a service as the bytes arrive. Only its end is checked.
+    async fn relay_bytes(
+        &self,
+        head: ResponseHead,
+        incoming: Incoming,
+        end_check: StreamEndCheck,
+    ) -> Result<(), RelayError> {
+        let (mut incoming, mut end_check) = (incoming, end_check);
         self.response_buffer.send_head(head);
         while let Some(data) = next_body_data(&mut incoming).await? {
+            end_check.advance(&data);
             self.response_buffer.send_chunk(data).await?;
         }
-        Ok(())
+        end_check
+            .check_end()
+            .map_err(|cut| RelayError::Interrupted(cut.to_string().into()))
     }
 
     /// Checks the model name in an event and returns whether the event is the last one.
--- a/crates/dogwoodshunt_border/src/http/connection_pool.rs
+++ b/crates/dogwoodshunt_border/src/http/connection_pool.rs
@@ -268,11 +268,6 @@
 }
 
 impl Exchange {
-    /// Returns how the end of the body is marked.
-    pub fn framing(&self) -> BodyFraming {
-        BodyFraming::from_headers(&self.headers)
-    }
-
     /// Returns the next chunk of the body, or `None` once the body is complete.
     pub async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
--- a/crates/dogwoodshunt_border/src/http/mod.rs
+++ b/crates/dogwoodshunt_border/src/http/mod.rs
@@ -10,10 +10,11 @@
 pub mod connection_pool;
 pub mod server;
 pub mod sse;
+pub mod stream_end;
 
 pub use crate::http::body::ResponseBody;
 pub use crate::http::client::Client;
 pub use crate::http::client::HttpError;
-pub use crate::http::connection_pool::BodyFraming;
 pub use crate::http::connection_pool::ConnectionPool;
 pub use crate::http::connection_pool::Exchange;
+pub use crate::http::stream_end::StreamEndCheck;
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -21,11 +21,14 @@
 use crate::platform::UpstreamClient;
 use async_channel::Sender;
 use bytes::Bytes;
+use dogwoodshunt_border::http::Exchange;
 use dogwoodshunt_border::http::ResponseBody;
+use dogwoodshunt_border::http::StreamEndCheck;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_runtime::traffic::TrafficExecutor;
 use dogwoodshunt_serving::Route;
 use dogwoodshunt_serving::admission;
+use dogwoodshunt_serving::config::RouteKind;
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
@@ -166,6 +169,15 @@
     deadline: Instant,
 }
 
+impl RoutedCall {
+    /// Returns the check of the end of a response to the request.
+    fn end_check(&self, exchange: &Exchange) -> StreamEndCheck {
+        let is_stream_route = matches!(self.route.kind, RouteKind::Stream { .. });
+        let expects_events = is_stream_route && exchange.status.is_success();
+        StreamEndCheck::new(&exchange.headers, expects_events)
+    }
+}
+
 /// Handles callers' requests.
 pub struct CallHandler<U> {
     /// Sends calls to upstreams.
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -94,8 +94,8 @@
         let sent = history.sent;
         match engine_response {
             Ok(engine_response) => {
-                let framing = engine_response.exchange.framing();
-                let stats = StreamStats::new(engine_response.granted_at, routed, self, framing);
+                let end_check = routed.end_check(&engine_response.exchange);
+                let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check);
                 let upstream = Some(engine_response.upstream);
                 let response = CallResponse::Upstream {
                     status: engine_response.exchange.status,
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -229,9 +229,15 @@
                 SendOutcome::MayHaveRun("the answer belongs to another request".into())
             }
             ExecutionStatus::Executed => {
-                match exchange.read_to_end(MAX_BUFFERED_BODY_BYTES).await {
-                    Ok(body_bytes) => SendOutcome::Answered(Box::new(exchange), body_bytes),
-                    Err(error) => SendOutcome::MayHaveRun(error.to_string().into()),
+                let body_bytes = match exchange.read_to_end(MAX_BUFFERED_BODY_BYTES).await {
+                    Ok(body_bytes) => body_bytes,
+                    Err(error) => return SendOutcome::MayHaveRun(error.to_string().into()),
+                };
+                let mut end_check = routed.end_check(&exchange);
+                end_check.advance(&body_bytes);
+                match end_check.check_end() {
+                    Ok(()) => SendOutcome::Answered(Box::new(exchange), body_bytes),
+                    Err(cut) => SendOutcome::MayHaveRun(cut.to_string().into()),
                 }
             }
         }
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -16,12 +16,11 @@
 use crate::metrics::RouteOutcomeLabels;
 use crate::platform::UpstreamClient;
 use bytes::Bytes;
-use dogwoodshunt_border::http::BodyFraming;
 use dogwoodshunt_border::http::Exchange;
 use dogwoodshunt_border::http::ResponseBody;
+use dogwoodshunt_border::http::StreamEndCheck;
 use dogwoodshunt_border::http::body;
 use dogwoodshunt_border::http::body::BodyError;
-use dogwoodshunt_border::http::sse::EventScanner;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -67,10 +66,8 @@
     resume_count: u32,
     /// Value of the `outcome` label in metrics.
     outcome: &'static str,
-    /// Framing of the latest response.
-    framing: BodyFraming,
-    /// Boundaries of the events of the latest response.
-    events: EventScanner,
+    /// Check of the end of the latest response.
+    end_check: StreamEndCheck,
     route: Box<str>,
     shared_state: Arc<SharedState>,
     metrics: Metrics,
@@ -83,7 +80,7 @@
         now: Instant,
         routed: &RoutedCall,
         handler: &CallHandler<U>,
-        framing: BodyFraming,
+        end_check: StreamEndCheck,
     ) -> Self {
         Self {
             id: routed.call.id.clone(),
@@ -94,8 +91,7 @@
             longest_event_gap: Duration::ZERO,
             resume_count: 0,
             outcome: "caller-left",
-            framing,
-            events: EventScanner::default(),
+            end_check,
             route: routed.route.name.clone(),
             shared_state: handler.shared_state.clone(),
             metrics: handler.metrics.clone(),
@@ -151,7 +147,8 @@
             "granted_ms" => millis(self.granted_after),
             "first_ms" => self.first_event_after.map(millis).unwrap_or(0),
             "resumed" => self.resume_count, "pause_ms" => millis(self.longest_event_gap),
-            "framing" => self.framing.as_str(), "inside_event" => self.events.is_inside_event(),
+            "framing" => self.end_check.framing().as_str(),
+            "inside_event" => self.end_check.is_inside_event(),
             "took_ms" => millis(duration));
     }
 }
@@ -182,12 +179,13 @@
                     Err(error) => self.on_read_error(error).await.map(Err),
                 },
                 Some(Some(Err(error))) => self.on_read_error(error).await.map(Err),
-                Some(None) => {
-                    self.is_finished = true;
-                    self.relay.stats.outcome = COMPLETE;
-                    let rest = self.splitter.as_mut().map(EventSplitter::take_partial);
-                    rest.filter(|rest| !rest.is_empty()).map(Ok)
-                }
+                Some(None) => match self.relay.stats.end_check.check_end() {
+                    Ok(()) => self.on_end().map(Ok),
+                    Err(cut) => {
+                        let reason = cut.to_string().into();
+                        self.on_read_error(BodyError { reason }).await.map(Err)
+                    }
+                },
             };
             if item.is_some() {
                 return item;
@@ -196,6 +194,14 @@
         None
     }
 
+    /// Ends a whole stream and returns its last bytes, if they are still held back.
+    fn on_end(&mut self) -> Option<Bytes> {
+        self.is_finished = true;
+        self.relay.stats.outcome = COMPLETE;
+        let rest = self.splitter.as_mut().map(EventSplitter::take_partial);
+        rest.filter(|rest| !rest.is_empty())
+    }
+
     fn on_deadline(&mut self) -> BodyError {
         self.is_finished = true;
         self.relay.stats.outcome = "deadline";
@@ -214,7 +220,7 @@
         if self.relay.stats.first_event_after.is_none() || self.relay.stats.resume_count > 0 {
             self.relay.guard.report_first_byte();
         }
-        self.relay.stats.events.advance(bytes);
+        self.relay.stats.end_check.advance(bytes);
         let whole = match &mut self.splitter {
             Some(splitter) => splitter.push(bytes).map_err(|error| BodyError {
                 reason: error.to_string().into(),
@@ -248,8 +254,7 @@
             if let Ok(engine_response) = engine_response
                 && engine_response.exchange.status.is_success()
             {
-                relay.stats.framing = engine_response.exchange.framing();
-                relay.stats.events = EventScanner::default();
+                relay.stats.end_check = relay.routed.end_check(&engine_response.exchange);
                 relay.exchange = engine_response.exchange;
                 relay.guard = engine_response.guard;
                 relay.stats.resume_count += 1;
