--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -43,6 +43,9 @@
 /// connection reaches another process.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Maximum number of prompt parts in a log line.
+const MAX_LOGGED_PARTS: usize = 6;
+
 /// Response of an engine that runs the request.
 pub(super) struct EngineResponse {
     /// Exchange from which the body of the response is read.
@@ -148,7 +151,8 @@
                 .as_secs_f64();
             info!(self.log, "placed"; "id" => %routed.call.id, "request" => %grant.request,
                 "upstream" => %grant.upstream, "target" => %grant.target,
-                "waited_ms" => (waited * 1e3) as u64, "sent" => history.sent);
+                "waited_ms" => (waited * 1e3) as u64, "sent" => history.sent,
+                "parts" => shared_parts(routed));
             metrics::observe_latency(&self.metrics.grant_wait_seconds, &routed.route.name, waited);
             let failure = match self.send(routed, &grant, &mut guard, resume_after).await {
                 Ok(exchange) => {
@@ -308,6 +312,16 @@
     }
 }
 
+/// Returns the ids of the first shared parts of the prompt for logs. The last part of a
+/// prompt is not shared.
+fn shared_parts(routed: &RoutedCall) -> String {
+    let model = routed.call.model.as_ref();
+    let parts = model.map_or(&[][..], |model| model.demand.shared_parts());
+    let logged = parts.iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = logged.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 fn classify_response(
     upstream_response: UpstreamResponse,
     guard: &mut RunGuard,
--- a/crates/dogwoodshunt_residency/src/demand.rs
+++ b/crates/dogwoodshunt_residency/src/demand.rs
@@ -40,6 +40,11 @@
 }
 
 impl Demand {
+    /// Returns the parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the KV cache tokens that the request occupies when its completion
     /// has its maximum length.
     pub fn max_kv_tokens(&self) -> u64 {
