Quarantine prompt parts that crash engines

Cause: nothing outlived a run. Each request with the part that crashes engines was placed like any other, at every entry.

An agent now keeps which granted prompts its engine had not begun to answer when it crashed, and heartbeats carry the records to all entries, once each, also to entries that connect later. Each entry decides by the same records: a shared part that stands in unanswered prompts of three separate crashes and was not answered is quarantined for ten minutes. Requests with it are refused at once (503, not run, with the time left), waiting ones are withdrawn, streams are not resumed. Parts of sound prompts are answered again and again and are never taken, and a crash that a quarantined part explains counts against no other part.

An event counts as answer once it is whole: an engine may crash inside the first one. A run that broke off is reported as over before the stream is resumed.

--- a/crates/dogwoodshunt_border/src/http/stream_end.rs
+++ b/crates/dogwoodshunt_border/src/http/stream_end.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Returns whether the body has begun to answer: a whole event of a stream of events was
+    /// read, or any byte of another body.
+    pub fn has_answer(&self) -> bool {
+        !self.is_event_stream || self.scanner.has_whole_event()
+    }
+
     /// Checks a body whose bytes were all read and whose framing has no error.
     ///
     /// # Errors
--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -177,6 +177,9 @@
     /// Applies a report of the engine; `None` if the engine did not answer.
     pub(super) fn on_report(&mut self, now: Instant, report: Option<EngineReport>) {
         let Some(report) = report else {
+            if self.crash_log.has_broken_run(now) {
+                self.on_crash(now);
+            }
             let timed_out =
                 now.saturating_duration_since(self.engine.last_report_at) >= REPORT_TIMEOUT;
             if let Some(key) = self.engine.key.filter(|_| timed_out) {
@@ -188,6 +191,7 @@
         if previous_started_at != report.started && self.engine.report.is_some() {
             warn!(self.context.log, "engine restarted"; "started" => report.started,
                 "before" => previous_started_at);
+            self.on_crash(now);
             self.engine.identity = None;
         }
         self.engine.last_report_at = now;
@@ -197,6 +201,25 @@
         self.update_leaving();
     }
 
+    /// Records that the engine process has crashed, and tells the entries which requests it had
+    /// not begun to answer. A leaving engine ends as planned.
+    fn on_crash(&mut self, now: Instant) {
+        let identity = self.engine.identity.as_ref();
+        let is_leaving = identity.is_some_and(|identity| identity.leaving)
+            || self.engine.report.as_ref().is_some_and(|r| r.leaving);
+        if is_leaving {
+            return;
+        }
+        let started = self.engine.started_at();
+        let unanswered = self.unanswered_prompts();
+        let Some(suspects) = self.crash_log.on_crash(now, started, unanswered) else {
+            return;
+        };
+        let suspects = suspects.len();
+        warn!(self.context.log, "engine crashed"; "started" => started, "suspects" => suspects);
+        self.send_all_heartbeats(now);
+    }
+
     /// Passes the reported state to the scheduler, once the capacity of the engine
     /// is known.
     fn apply_report(&mut self, now: Instant) {
--- a/crates/dogwoodshunt_engine_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/links.rs
@@ -35,6 +35,8 @@
     /// When the last frame with a report was sent.
     last_report_sent_at: Instant,
     last_report: Option<Arc<Report>>,
+    /// Number of the last record of a crash that was sent.
+    sent_crash_number: u64,
     sent_heartbeat_number: u64,
     received_heartbeat_number: u64,
 }
@@ -52,6 +54,7 @@
             last_heartbeat_sent_at: now,
             last_report_sent_at: now,
             last_report: None,
+            sent_crash_number: 0,
             sent_heartbeat_number: 0,
             received_heartbeat_number: 0,
         });
@@ -114,7 +117,8 @@
             Frame::Done {
                 request,
                 adapter_missing,
-            } => self.on_done(now, request, adapter_missing),
+                broken_off,
+            } => self.on_done(now, request, adapter_missing, broken_off),
             Frame::FirstByte { request } => self.on_first_byte(now, request),
             Frame::UpstreamConfig(config) => self.on_upstream_config(now, *config),
             Frame::Ack { .. }
@@ -220,6 +224,8 @@
         link.sent_heartbeat_number += 1;
         link.last_heartbeat_sent_at = now;
         link.last_report_sent_at = now;
+        let (crashes, crash_number) = self.crash_log.records_after(now, link.sent_crash_number);
+        link.sent_crash_number = crash_number;
         let update = report.update_since(link.last_report.as_deref());
         link.last_report = Some(report.clone());
         let heartbeat = Heartbeat {
@@ -228,6 +234,7 @@
             fresh: true,
             leaving,
             epoch,
+            crashes,
             connected_entries,
             report: Some(update),
             ..Heartbeat::default()
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -1,13 +1,15 @@
 //! Control state of the agent, which one thread owns.
 //!
 //! All input arrives as an [`Event`]. Module `links` handles the connections of
-//! entries, `runs` the runs that entries request, and `engine` the reports of the
-//! engine and the orders to the engine.
+//! entries, `runs` the runs that entries request, `engine` the reports of the
+//! engine and the orders to the engine, and `crashes` the records of its crashes.
 
+mod crashes;
 mod engine;
 mod links;
 mod runs;
 
+use crate::control::crashes::CrashLog;
 use crate::control::engine::EngineState;
 use crate::control::links::LinkState;
 use crate::control::runs::RunState;
@@ -131,6 +133,7 @@
     identity: Identity,
     scheduler: Scheduler,
     engine: EngineState,
+    crash_log: CrashLog,
     links: SlotMap<LinkKey, LinkState>,
     runs: HashMap<RequestId, RunState>,
     request_by_job: HashMap<JobKey, RequestId>,
@@ -153,6 +156,7 @@
             identity: identity.clone(),
             scheduler: Scheduler::new(settings.scheduler_settings()),
             engine: EngineState::new(now),
+            crash_log: CrashLog::default(),
             links: SlotMap::with_key(),
             runs: HashMap::new(),
             request_by_job: HashMap::new(),
--- a/crates/dogwoodshunt_engine_agent/src/control/runs.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/runs.rs
@@ -2,6 +2,8 @@
 
 use crate::control::Control;
 use crate::control::LinkKey;
+use crate::control::crashes;
+use crate::control::crashes::SharedParts;
 use dogwoodshunt_residency::JobKey;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::job::AnyJob;
@@ -27,6 +29,10 @@
 pub(super) struct RunState {
     link: LinkKey,
     job: JobKey,
+    /// Ids of the shared parts of its prompt.
+    shared_parts: SharedParts,
+    /// Whether the engine has begun to answer.
+    is_answered: bool,
     /// When the entry disconnected. Cleared when the entry requests the run again on
     /// a new connection.
     disconnected_at: Option<Instant>,
@@ -50,6 +56,7 @@
         }
         let deadline = Some(now + admit.time_left);
         let due_at = Some(now + admit.due_in);
+        let shared_parts = crashes::shared_part_ids(admit.demand.shared_parts());
         let job = Job::new(request, target, Priority::Normal, now, deadline);
         let job = job.with_demand(admit.demand, due_at);
         let submitted = if admit.started {
@@ -64,6 +71,8 @@
                 let run = RunState {
                     link,
                     job,
+                    shared_parts,
+                    is_answered: false,
                     disconnected_at: None,
                 };
                 self.runs.insert(request, run);
@@ -125,15 +134,27 @@
     }
 
     pub(super) fn on_first_byte(&mut self, now: Instant, request: RequestId) {
-        if let Some(run) = self.runs.get(&request) {
+        if let Some(run) = self.runs.get_mut(&request) {
+            run.is_answered = true;
+            self.crash_log.on_answer(now, &run.shared_parts);
             self.scheduler.on_first_byte(now, run.job);
         }
     }
 
-    pub(super) fn on_done(&mut self, now: Instant, request: RequestId, adapter_missing: bool) {
+    pub(super) fn on_done(
+        &mut self,
+        now: Instant,
+        request: RequestId,
+        adapter_missing: bool,
+        broken_off: bool,
+    ) {
         let Some(run) = self.runs.remove(&request) else {
             return;
         };
+        if broken_off {
+            let suspect = (!run.is_answered).then_some(run.shared_parts);
+            self.crash_log.on_broken_run(now, suspect);
+        }
         self.request_by_job.remove(&run.job);
         if adapter_missing {
             self.scheduler.mark_adapter_unknown(run.job);
@@ -147,6 +168,16 @@
         self.carry_out_actions(now, actions);
     }
 
+    /// Returns the shared parts of the prompts of the granted runs that the engine has not
+    /// begun to answer.
+    pub(super) fn unanswered_prompts(&self) -> Vec<SharedParts> {
+        let is_granted =
+            |run: &&RunState| matches!(self.scheduler.job(run.job), Some(AnyJob::Running(_)));
+        let runs = self.runs.values().filter(is_granted);
+        let unanswered = runs.filter(|run| !run.is_answered);
+        unanswered.map(|run| run.shared_parts.clone()).collect()
+    }
+
     /// Ends the queued or granted run of a request that its entry has cancelled or can
     /// no longer complete.
     pub(super) fn on_cancel(&mut self, now: Instant, request: RequestId) {
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the control state: its channels are read and written directly, without
 //! a network.
 
+mod crashes;
+
 use crate::EngineAgentSettings;
 use crate::control::Control;
 use crate::control::ControlContext;
@@ -502,6 +504,7 @@
     agent.receive_frame(Frame::Done {
         request,
         adapter_missing: true,
+        broken_off: false,
     });
     agent.receive_report(|report| report.adapters = vec![AdapterRef::new("a", "1")]);
     let is_full = |frame: &Frame| {
--- a/crates/dogwoodshunt_entry/src/api/response.rs
+++ b/crates/dogwoodshunt_entry/src/api/response.rs
@@ -97,6 +97,7 @@
             NotRunReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
             NotRunReason::Withdrawn => StatusCode::GONE,
             NotRunReason::Cancelled
+            | NotRunReason::CrashesEngines
             | NotRunReason::Deadline
             | NotRunReason::Leaving
             | NotRunReason::LoadFailed
--- a/crates/dogwoodshunt_gateway/src/call/guard.rs
+++ b/crates/dogwoodshunt_gateway/src/call/guard.rs
@@ -3,6 +3,7 @@
 
 use crate::control::ControlEvent;
 use crate::control::PlacementId;
+use crate::control::RunEnd;
 use async_channel::Sender;
 use dogwoodshunt_serving::pool::CallEnd;
 use dogwoodshunt_types::ServiceName;
@@ -11,8 +12,9 @@
 /// Reports the end of a placement, or of the run granted for it, when dropped.
 pub(super) struct RunGuard {
     pub(super) placement_id: PlacementId,
-    /// Whether the upstream has reported that it lacks the adapter.
-    pub(super) adapter_missing: bool,
+    /// How the run has ended so far.
+    pub(super) end: RunEnd,
+    is_answer_reported: bool,
     events: Sender<ControlEvent>,
 }
 
@@ -20,12 +22,17 @@
     pub(super) fn new(placement_id: PlacementId, events: Sender<ControlEvent>) -> Self {
         Self {
             placement_id,
-            adapter_missing: false,
+            end: RunEnd::Finished,
+            is_answer_reported: false,
             events,
         }
     }
 
-    pub(super) fn report_first_byte(&self) {
+    /// Reports once that the engine has begun to answer.
+    pub(super) fn report_first_byte(&mut self) {
+        if std::mem::replace(&mut self.is_answer_reported, true) {
+            return;
+        }
         let placement_id = self.placement_id;
         // The channel is unbounded and closes only while the process exits.
         let _ = self
@@ -38,7 +45,7 @@
     fn drop(&mut self) {
         let placement_ended = ControlEvent::PlacementEnded {
             placement_id: self.placement_id,
-            adapter_missing: self.adapter_missing,
+            end: self.end,
         };
         let _ = self.events.try_send(placement_ended);
     }
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -357,7 +357,9 @@
     let jitter = rand::rng().random();
     let retry_after = match not_run.reason {
         NotRunReason::Deadline => admission::retry_after(not_run.retry_after, useful_wait, jitter),
-        NotRunReason::Paused => admission::retry_after_pause(not_run.retry_after, jitter),
+        NotRunReason::CrashesEngines | NotRunReason::Paused => {
+            admission::retry_after_pause(not_run.retry_after, jitter)
+        }
         _ => admission::retry_after(not_run.retry_after, Duration::ZERO, jitter),
     };
     CallResponse::NotRun(NotRun::new(not_run.reason, retry_after))
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -14,6 +14,7 @@
 use crate::control::ControlEvent;
 use crate::control::Grant;
 use crate::control::PlacementRequest;
+use crate::control::RunEnd;
 use crate::metrics;
 use crate::platform::Dispatch;
 use crate::platform::ExecutionStatus;
@@ -108,7 +109,7 @@
                         routed: routed.clone(),
                         history,
                         exchange: engine_response.exchange,
-                        guard: engine_response.guard,
+                        guard: Some(engine_response.guard),
                         stats,
                     }),
                 };
@@ -293,6 +294,7 @@
                 ("unreached", Err(SendFailure::Unreached(message)))
             }
             Some(Err(SendError::Lost { message, .. })) => {
+                guard.end = RunEnd::BrokenOff;
                 ("lost", Err(SendFailure::MayHaveRun(message)))
             }
             Some(Ok(upstream_response)) => {
@@ -330,7 +332,7 @@
         ExecutionStatus::Executed => Ok(upstream_response.exchange),
         ExecutionStatus::RefusedFull => Err(SendFailure::Refused),
         ExecutionStatus::Misdirected => {
-            guard.adapter_missing = true;
+            guard.end = RunEnd::AdapterMissing;
             Err(SendFailure::Refused)
         }
         ExecutionStatus::UnverifiedResponse => {
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -10,6 +10,7 @@
 use crate::call::SendHistory;
 use crate::call::guard::RunGuard;
 use crate::call::sse::EventSplitter;
+use crate::control::RunEnd;
 use crate::control::shared_state::SharedState;
 use crate::metrics;
 use crate::metrics::Metrics;
@@ -44,8 +45,8 @@
     pub(super) history: SendHistory,
     /// Exchange from which the upstream's response is read.
     pub(super) exchange: Exchange,
-    /// Ends the run when dropped.
-    pub(super) guard: RunGuard,
+    /// Ends the run when dropped; `None` between a run that broke off and the next one.
+    pub(super) guard: Option<RunGuard>,
     /// Measurements of the stream.
     pub(super) stats: StreamStats,
 }
@@ -217,10 +218,12 @@
     ///
     /// Fails if the last event is too large to be buffered.
     fn on_bytes(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, BodyError> {
-        if self.relay.stats.first_event_after.is_none() || self.relay.stats.resume_count > 0 {
-            self.relay.guard.report_first_byte();
-        }
         self.relay.stats.end_check.advance(bytes);
+        if self.relay.stats.end_check.has_answer()
+            && let Some(guard) = &mut self.relay.guard
+        {
+            guard.report_first_byte();
+        }
         let whole = match &mut self.splitter {
             Some(splitter) => splitter.push(bytes).map_err(|error| BodyError {
                 reason: error.to_string().into(),
@@ -238,6 +241,9 @@
     /// stream and returns the error.
     async fn on_read_error(&mut self, error: BodyError) -> Option<BodyError> {
         let relay = &mut self.relay;
+        if let Some(mut guard) = relay.guard.take() {
+            guard.end = RunEnd::BrokenOff;
+        }
         if let Some(splitter) = &mut self.splitter
             && relay
                 .handler
@@ -256,7 +262,7 @@
             {
                 relay.stats.end_check = relay.routed.end_check(&engine_response.exchange);
                 relay.exchange = engine_response.exchange;
-                relay.guard = engine_response.guard;
+                relay.guard = Some(engine_response.guard);
                 relay.stats.resume_count += 1;
                 return None;
             }
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -43,7 +43,7 @@
 /// State of one agent and of the connection to it.
 pub(super) struct AgentState {
     address: SocketAddr,
-    service: ServiceName,
+    pub(super) service: ServiceName,
     /// Engine of the agent; `None` while it is not in the list of upstreams.
     upstream: Option<ListedUpstream>,
     identity: Option<Identity>,
@@ -263,6 +263,7 @@
         }
         self.retry_budgets
             .set_entry_count(now, heartbeat.connected_entries);
+        self.on_engine_crashes(now, agent, &heartbeat.crashes);
         if let Some(mut update) = heartbeat.report {
             if let (true, ReportUpdate::Full(report)) = (heartbeat.leaving, &mut update) {
                 // The agent admits no more requests, but its engine continues to
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! Control state of an entry, owned by one thread.
 //!
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
-//! engines, `store` applies the records of the platform's store, `placement`
+//! engines, `quarantine` refuses prompts that crash engines, `store` applies the records of the platform's store, `placement`
 //! places model requests on engines, `announcements` applies what upstreams announce in
 //! their responses, and `plain_service` selects upstreams of
 //! plain services, which have no engines.
@@ -10,11 +10,13 @@
 mod announcements;
 mod placement;
 mod plain_service;
+mod quarantine;
 pub mod shared_state;
 mod store;
 
 pub use crate::control::placement::Grant;
 pub use crate::control::placement::PlacementRequest;
+pub use crate::control::placement::RunEnd;
 pub use crate::control::plain_service::SelectedUpstream;
 
 use crate::connector::Connector;
@@ -39,6 +41,7 @@
 use dogwoodshunt_runtime::link::Credentials;
 use dogwoodshunt_runtime::telemetry::ViolationMonitor;
 use dogwoodshunt_runtime::traffic::TrafficExecutor;
+use dogwoodshunt_serving::PromptQuarantine;
 use dogwoodshunt_serving::UpstreamPool;
 use dogwoodshunt_serving::UpstreamRegistry;
 use dogwoodshunt_serving::pool::CallEnd;
@@ -104,8 +107,8 @@
     PlacementEnded {
         /// Placement that has ended.
         placement_id: PlacementId,
-        /// Whether the upstream has reported that it lacks the adapter.
-        adapter_missing: bool,
+        /// How the run has ended.
+        end: RunEnd,
     },
     /// The first byte of the response to a granted run has arrived.
     FirstByte {
@@ -223,6 +226,8 @@
     registry: UpstreamRegistry,
     pools: HashMap<ServiceName, UpstreamPool>,
     pauses: Pauses,
+    /// Prompt parts that have crashed the engines of each service.
+    quarantines: HashMap<ServiceName, PromptQuarantine>,
     declared_versions: HashMap<AdapterName, AdapterRef>,
     /// Highest era of the store that a listing has shown.
     store_era: StoreEra,
@@ -256,6 +261,7 @@
             registry: UpstreamRegistry::default(),
             pools: HashMap::new(),
             pauses: Pauses::default(),
+            quarantines: HashMap::new(),
             declared_versions: HashMap::new(),
             store_era: 0,
             config_era: 0,
@@ -305,11 +311,10 @@
             ControlEvent::StoreChanged { topic, changes } => {
                 self.on_store_changed(now, topic, changes)
             }
-            ControlEvent::PlacementEnded {
-                placement_id,
-                adapter_missing,
-            } => self.on_placement_ended(now, placement_id, adapter_missing),
-            ControlEvent::FirstByte { placement_id } => self.on_first_byte(placement_id),
+            ControlEvent::PlacementEnded { placement_id, end } => {
+                self.on_placement_ended(now, placement_id, end)
+            }
+            ControlEvent::FirstByte { placement_id } => self.on_first_byte(now, placement_id),
             ControlEvent::Frame { agent, frame } => self.on_frame(now, agent, frame),
             ControlEvent::StoreListed { topic, listing } => {
                 self.on_store_listed(now, topic, &listing)
@@ -366,6 +371,7 @@
             self.send_heartbeats(now);
             self.router.prune_popularity(now);
             self.expire_unattended(now);
+            self.expire_quarantines(now);
             let connected = self.agents.values().filter(|agent| agent.is_connected());
             let connected = i64::try_from(connected.count()).unwrap_or(i64::MAX);
             self.context.metrics.connected_agents.set(connected);
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -77,6 +77,17 @@
     pub request: RequestId,
 }
 
+/// How a granted run has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunEnd {
+    /// The upstream has reported that it lacks the adapter.
+    AdapterMissing,
+    /// The connection to the upstream was lost before the response was complete.
+    BrokenOff,
+    /// The run is over in any other way.
+    Finished,
+}
+
 /// A model request that is being placed; agents are asked one after another.
 struct Placement {
     req: PlacementRequest,
@@ -108,6 +119,7 @@
 /// unattended engine.
 pub(super) struct GrantedRun {
     agent: AgentKey,
+    service: ServiceName,
     target: Target,
     request: RequestId,
     demand: Demand,
@@ -124,6 +136,11 @@
         reply_tx: Sender<Result<Grant, NotRun>>,
     ) {
         self.retry_budgets.on_request(&req.service);
+        if let Some(not_run) = self.quarantine_refusal(now, &req) {
+            // The receiver is dropped if the caller has disconnected.
+            let _ = reply_tx.try_send(Err(not_run));
+            return;
+        }
         let placement = Placement {
             target: self.target_of(&req),
             req,
@@ -242,6 +259,7 @@
         let placement = pending.placement;
         let run = GrantedRun {
             agent: pending.agent,
+            service: placement.req.service,
             target: placement.target,
             request: grant.request,
             demand: placement.req.demand,
@@ -251,7 +269,7 @@
         self.granted_runs.insert(placement_id, run);
         if placement.reply_tx.try_send(Ok(grant)).is_err() {
             // The caller has disconnected.
-            self.on_placement_ended(now, placement_id, false);
+            self.on_placement_ended(now, placement_id, RunEnd::Finished);
         }
     }
 
@@ -267,14 +285,14 @@
         if !self.is_pending_at(placement_id, agent, attempt) {
             // The caller has disconnected, or another agent has been asked
             // since.
-            self.send(agent, done_frame(request, false));
+            self.send(agent, done_frame(request, RunEnd::Finished));
             return;
         }
         let Some(pending) = self.pending.remove(&placement_id) else {
             return;
         };
         let Some(engine) = self.engine_identity(agent) else {
-            self.send(agent, done_frame(request, false));
+            self.send(agent, done_frame(request, RunEnd::Finished));
             self.try_next_agent(now, placement_id, pending);
             return;
         };
@@ -385,6 +403,28 @@
         }
     }
 
+    /// Withdraws and refuses the placements whose prompts are quarantined.
+    pub(super) fn refuse_quarantined(&mut self, now: Instant) {
+        let pending: Vec<PlacementId> = self.pending.keys().copied().collect();
+        for placement_id in pending {
+            let req = self
+                .pending
+                .get(&placement_id)
+                .map(|pending| &pending.placement.req);
+            let Some(not_run) = req.and_then(|req| self.quarantine_refusal(now, req)) else {
+                continue;
+            };
+            if let Some(pending) = self.pending.remove(&placement_id) {
+                self.log_not_granted(now, placement_id, &pending, &not_run.reason.to_string());
+                self.router
+                    .on_attempt_end(pending.agent, &pending.placement.target);
+                let request = self.request_id(placement_id, pending.placement.attempt());
+                self.send(pending.agent, Frame::Cancel { request });
+                pending.placement.refuse(not_run);
+            }
+        }
+    }
+
     fn pending_at(&self, agent: AgentKey) -> Vec<PlacementId> {
         let at_agent = self
             .pending
@@ -413,10 +453,12 @@
         }
     }
 
-    pub(super) fn on_first_byte(&mut self, placement_id: PlacementId) {
+    pub(super) fn on_first_byte(&mut self, now: Instant, placement_id: PlacementId) {
         if let Some(run) = self.granted_runs.get(&placement_id) {
             let request = run.request;
             self.send(run.agent, Frame::FirstByte { request });
+            let quarantine = self.quarantines.entry(run.service.clone()).or_default();
+            quarantine.on_answer(now, run.demand.shared_parts());
         }
     }
 
@@ -425,16 +467,20 @@
         &mut self,
         now: Instant,
         placement_id: PlacementId,
-        adapter_missing: bool,
+        end: RunEnd,
     ) {
         if let Some(run) = self.granted_runs.remove(&placement_id) {
             self.router.on_attempt_end(run.agent, &run.target);
-            if let Some(adapter) = run.target.adapter().filter(|_| adapter_missing) {
+            let missing = run
+                .target
+                .adapter()
+                .filter(|_| end == RunEnd::AdapterMissing);
+            if let Some(adapter) = missing {
                 self.router.mark_adapter_missing(run.agent, adapter);
             }
             // A disconnected agent misses this frame. On reconnection it receives
             // the runs that continue, and this run is not among them.
-            self.send(run.agent, done_frame(run.request, adapter_missing));
+            self.send(run.agent, done_frame(run.request, end));
         }
         if let Some(pending) = self.pending.remove(&placement_id) {
             self.log_not_granted(
@@ -456,9 +502,10 @@
     (request.number >> ATTEMPT_BITS, attempt)
 }
 
-fn done_frame(request: RequestId, adapter_missing: bool) -> Frame {
+fn done_frame(request: RequestId, end: RunEnd) -> Frame {
     Frame::Done {
         request,
-        adapter_missing,
+        adapter_missing: end == RunEnd::AdapterMissing,
+        broken_off: end == RunEnd::BrokenOff,
     }
 }
--- a/crates/dogwoodshunt_gateway/src/metrics.rs
+++ b/crates/dogwoodshunt_gateway/src/metrics.rs
@@ -80,6 +80,8 @@
     pub store_requests: Family<StoreOutcomeLabels, Counter>,
     /// Revision of the configuration in force.
     pub config_revision: Gauge,
+    /// Number of prompt parts that are refused since they crash engines.
+    pub quarantined_parts: Gauge,
     /// Number of connected agents.
     pub connected_agents: Gauge,
 }
@@ -99,6 +101,7 @@
             retries: Family::default(),
             store_requests: Family::default(),
             config_revision: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             connected_agents: Gauge::default(),
         };
         let requests = registered.requests.clone();
@@ -144,6 +147,9 @@
         registry.register("config_revision", help, revision);
         let agents = registered.connected_agents.clone();
         registry.register("agents_connected", "Agents that are connected", agents);
+        let parts = registered.quarantined_parts.clone();
+        let help = "Prompt parts that are refused since they crash engines";
+        registry.register("quarantined_prompt_parts", help, parts);
         registered
     }
 }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod overview;
+mod quarantine;
 mod restore;
 mod sse;
 
@@ -11,6 +12,7 @@
 use crate::control::ControlSettings;
 use crate::control::Grant;
 use crate::control::PlacementRequest;
+use crate::control::RunEnd;
 use crate::control::SelectedUpstream;
 use crate::control::shared_state::SharedState;
 use crate::metrics::Metrics;
@@ -429,7 +431,7 @@
     ));
     entry.handle(ControlEvent::PlacementEnded {
         placement_id,
-        adapter_missing: false,
+        end: RunEnd::Finished,
     });
     assert!(entry.take_sent_frames().is_empty());
 }
@@ -441,7 +443,7 @@
     let (_, admit) = entry.expect_admit();
     entry.handle(ControlEvent::PlacementEnded {
         placement_id,
-        adapter_missing: false,
+        end: RunEnd::Finished,
     });
     let sent = entry.take_sent_frames();
     let [(_, Frame::Cancel { request })] = sent[..] else {
@@ -511,7 +513,7 @@
         assert!(grant_rx.try_recv().unwrap().is_ok());
         entry.handle(ControlEvent::PlacementEnded {
             placement_id,
-            adapter_missing: true,
+            end: RunEnd::AdapterMissing,
         });
     }
     let (_, grant_rx) = entry.place("a");
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -146,6 +146,7 @@
         | NotRunReason::Paused
         | NotRunReason::Stale => true,
         NotRunReason::Cancelled
+        | NotRunReason::CrashesEngines
         | NotRunReason::Deadline
         | NotRunReason::KeyValueServiceUnreachable
         | NotRunReason::Withdrawn => false,
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of route lookup, the list of upstreams, pools and admission limits.
 
+mod quarantine;
+
 use crate::Config;
 use crate::Route;
 use crate::UpstreamPool;
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -61,6 +61,8 @@
 pub enum NotRunReason {
     /// The caller cancelled the request before it ran.
     Cancelled,
+    /// A part of the prompt has crashed engines.
+    CrashesEngines,
     /// The deadline of the request has passed, or would pass before the request could run.
     Deadline,
     /// The upstream, or the node that received the request, is leaving and accepts no
@@ -87,6 +89,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Cancelled => "the caller cancelled the request",
+            Self::CrashesEngines => "a part of the prompt has crashed engines",
             Self::Deadline => "the request cannot run before its deadline",
             Self::Leaving => "the upstream is leaving",
             Self::LoadFailed => "the adapter could not be loaded",
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -6,6 +6,7 @@
 use dogwoodshunt_freshness::FreshnessSummary;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::demand::PromptPartId;
 use dogwoodshunt_residency::report::ReportLoad;
 use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_types::AdapterRef;
@@ -90,6 +91,9 @@
         request: RequestId,
         /// Whether the upstream reported that the adapter is not loaded.
         adapter_missing: bool,
+        /// Whether the connection to the upstream was lost before the response was complete.
+        #[serde(default, skip_serializing_if = "is_default")]
+        broken_off: bool,
     },
     /// Agent to entry: the response is complete.
     End {
@@ -332,6 +336,9 @@
     /// Load report of the sending agent, in full or as a difference from the previous one.
     #[serde(default, rename = "r", skip_serializing_if = "Option::is_none")]
     pub report: Option<ReportUpdate>,
+    /// Crashes of the engine of the sending agent; each is sent once on a connection.
+    #[serde(default, rename = "k", skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<EngineCrash>,
     /// Number of entries connected to the sending agent; 0 from an entry.
     #[serde(default, rename = "x", skip_serializing_if = "is_default")]
     pub connected_entries: u32,
@@ -340,6 +347,23 @@
     pub peers: Vec<PeerState>,
 }
 
+/// Time for which agents and entries remember the crash of an engine.
+pub const CRASH_MEMORY: Duration = Duration::from_secs(600);
+
+/// Crash of an engine process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EngineCrash {
+    /// Start time of the process that crashed.
+    #[serde(rename = "b")]
+    pub started: UnixMillis,
+    /// Time from the crash to the heartbeat.
+    #[serde(rename = "a")]
+    pub age: Duration,
+    /// Shared parts of the prompt of each request that the process had not begun to answer.
+    #[serde(rename = "s")]
+    pub suspects: Vec<Vec<PromptPartId>>,
+}
+
 /// State of an entry that is connected to an agent, as known to the agent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerState {
