Use the name of a restarted engine that arrives before its first report

Found with the stand-in of crashing engines: an engine that was listed again within 200 ms of its restart, before its agent had polled a report of the new process, got no work any more. The agent dropped the name as that of another process, and entries send it once. It now keeps the name of a later process until the report shows that process.

The test failed before: no order goes to the restarted engine.

--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -53,6 +53,9 @@
     /// Upstream name and start time of the running engine process, once an entry has
     /// sent them.
     pub(super) identity: Option<UpstreamIdentity>,
+    /// Identity of a later process whose report has not arrived yet. Entries send an identity
+    /// once, as soon as the platform lists it.
+    next_identity: Option<UpstreamIdentity>,
     report: Option<EngineReport>,
     last_report_at: Instant,
     /// Newest configured base model and capacity, with the revision of the
@@ -78,6 +81,7 @@
         Self {
             key: None,
             identity: None,
+            next_identity: None,
             report: None,
             last_report_at: now,
             config: None,
@@ -126,6 +130,9 @@
         if identity.started != started_at && identity.started != 0 && started_at != 0 {
             // The identity belongs to another engine process: either the entry or the
             // report is out of date.
+            if identity.started > started_at {
+                self.engine.next_identity = Some(identity);
+            }
             return;
         }
         match &mut self.engine.identity {
@@ -197,6 +204,9 @@
         self.engine.last_report_at = now;
         self.engine.accepted_orders = report.accepted_orders;
         self.engine.report = Some(report);
+        if let Some(identity) = self.engine.next_identity.take() {
+            self.on_identity(identity);
+        }
         self.apply_report(now);
         self.update_leaving();
     }
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -339,6 +339,25 @@
     assert_eq!(&*orders[0].upstream, "engine-2");
 }
 
+#[test]
+fn name_of_a_restarted_engine_that_arrives_before_its_first_report_is_used() {
+    let mut agent = TestAgent::owning_named_engine();
+    agent.receive_upstream_config(|upstream_config| {
+        upstream_config.upstream = Some(UpstreamIdentity {
+            name: "engine-2".into(),
+            started: 200,
+            leaving: false,
+        });
+    });
+    agent.request_run("a", 7);
+    let orders = agent.take_sent_orders();
+    assert_eq!(&*orders[0].upstream, "engine-1");
+    agent.receive_report(|report| report.started = 200);
+    agent.request_run("b", 7);
+    let orders = agent.take_sent_orders();
+    assert_eq!(&*orders[0].upstream, "engine-2");
+}
+
 #[test]
 fn leaving_engine_gets_no_work_even_if_a_later_config_says_it_is_not_leaving() {
     let mut agent = TestAgent::owning_named_engine();
