Poll the report of an engine at once after a run broke off

Cause: the entries hear of a crash when the next poll of the report fails, up to 200 ms after the runs broke off, and in that time a busy fleet sends further requests with the part that crashes engines.

A poll of its own host is free.

--- a/crates/dogwoodshunt_engine_agent/src/agent.rs
+++ b/crates/dogwoodshunt_engine_agent/src/agent.rs
@@ -117,10 +117,12 @@
             .spawn(ownership_worker.run(verify_ownership_rx))
             .detach();
         let (orders_tx, orders_rx) = async_channel::unbounded();
+        let (poll_tx, poll_rx) = async_channel::bounded(1);
         let context = ControlContext {
             traffic: traffic.clone(),
             events_tx: events_tx.clone(),
             orders_tx,
+            poll_tx,
             verify_ownership_tx,
             load_in_progress: Arc::default(),
             metrics,
@@ -129,6 +131,7 @@
         let worker = EngineWorker {
             engine,
             load_in_progress: context.load_in_progress.clone(),
+            poll_rx,
             events_tx: events_tx.clone(),
             log: log.clone(),
         };
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -108,6 +108,8 @@
     pub events_tx: Sender<Event>,
     /// Orders to the engine worker.
     pub orders_tx: Sender<OrderRequest>,
+    /// Requests to the engine worker to poll the report at once.
+    pub poll_tx: Sender<()>,
     /// Requests to the ownership worker to verify the ownership of the engine.
     pub verify_ownership_tx: Sender<()>,
     /// Whether a load or unload is in progress; read by the engine worker.
--- a/crates/dogwoodshunt_engine_agent/src/control/runs.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/runs.rs
@@ -154,6 +154,8 @@
         if broken_off {
             let suspect = (!run.is_answered).then_some(run.shared_parts);
             self.crash_log.on_broken_run(now, suspect);
+            // A poll that is requested already shows whether the engine still runs.
+            let _ = self.context.poll_tx.try_send(());
         }
         self.request_by_job.remove(&run.job);
         if adapter_missing {
--- a/crates/dogwoodshunt_engine_agent/src/engine_worker.rs
+++ b/crates/dogwoodshunt_engine_agent/src/engine_worker.rs
@@ -30,6 +30,8 @@
     pub engine: Arc<E>,
     /// Whether a load or unload is in progress, during which polls are more frequent.
     pub load_in_progress: Arc<AtomicBool>,
+    /// Requests to poll the report before the next poll is due.
+    pub poll_rx: Receiver<()>,
     /// Sends reports and answers to the control thread.
     pub events_tx: Sender<Event>,
     /// Logger.
@@ -47,12 +49,18 @@
             } else {
                 IDLE_POLL_INTERVAL
             };
+            let poll_requested = async {
+                if self.poll_rx.recv().await.is_err() {
+                    smol::future::pending::<()>().await;
+                }
+                Ok(None)
+            };
             let poll_due = async {
                 Timer::after(interval).await;
                 Ok(None)
             };
             let order = async { orders.recv().await.map(Some) };
-            match order.or(poll_due).await {
+            match order.or(poll_requested).or(poll_due).await {
                 Ok(Some(order_request)) => self.send_order(order_request).await,
                 Ok(None) => {}
                 Err(_) => return,
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -47,6 +47,7 @@
     control: Control,
     orders_rx: Receiver<OrderRequest>,
     verify_ownership_rx: Receiver<()>,
+    poll_rx: Receiver<()>,
     events_rx: Receiver<Event>,
     now: Instant,
     /// Per connected entry, the frames sent to it and the sender of frames from it.
@@ -59,11 +60,13 @@
         let settings: EngineAgentSettings = settings::parse("test", SETTINGS).unwrap();
         let (orders_tx, orders_rx) = async_channel::unbounded();
         let (verify_ownership_tx, verify_ownership_rx) = async_channel::bounded(1);
+        let (poll_tx, poll_rx) = async_channel::bounded(1);
         let (events_tx, events_rx) = async_channel::unbounded();
         let context = ControlContext {
             traffic: traffic::TrafficExecutor::default(),
             events_tx,
             orders_tx,
+            poll_tx,
             verify_ownership_tx,
             load_in_progress: Default::default(),
             metrics: Metrics::new(&mut metrics::registry()),
@@ -75,6 +78,7 @@
             control,
             orders_rx,
             verify_ownership_rx,
+            poll_rx,
             events_rx,
             now,
             links: Vec::new(),
--- a/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
@@ -82,6 +82,17 @@
     assert_eq!(agent.take_crashes().len(), 1);
 }
 
+#[test]
+fn report_is_polled_at_once_after_a_run_broke_off() {
+    let mut agent = TestAgent::owning_named_engine();
+    let request = agent.run_prompt(&[1, 10]);
+    let another = agent.run_prompt(&[1, 11]);
+    agent.end_run(request, false);
+    assert!(agent.poll_rx.try_recv().is_err());
+    agent.end_run(another, true);
+    assert!(agent.poll_rx.try_recv().is_ok());
+}
+
 #[test]
 fn crash_is_seen_at_the_restart_if_no_report_failed() {
     let mut agent = TestAgent::owning_named_engine();
