Pass on events whose lines end with CR or CR LF

A stream with such lines on a route that can be resumed was held back whole, up to 256 KiB and then cut: the splitter looked for two line feeds only. It uses the scanner of the border now, as the check of the end does.

--- a/crates/dogwoodshunt_gateway/src/call/sse.rs
+++ b/crates/dogwoodshunt_gateway/src/call/sse.rs
@@ -2,11 +2,9 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use dogwoodshunt_border::http::sse::EventScanner;
 use snafu::Snafu;
 
-/// Separator after an event.
-const EVENT_END: &[u8] = b"\n\n";
-
 /// Largest event that is buffered, in bytes. Events hold a few tokens; an upstream that
 /// sends an event without end must not fill the memory of the entry.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
@@ -24,8 +22,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     partial: BytesMut,
-    /// Number of bytes of `partial` that were searched for the end of an event.
-    searched: usize,
+    scanner: EventScanner,
     last_id: Option<u64>,
 }
 
@@ -45,23 +42,16 @@
     ///
     /// Fails if an event exceeds 256 KiB.
     pub(crate) fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
+        let held = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        // The separator may begin in the bytes that were searched before.
-        let start = self.searched.saturating_sub(EVENT_END.len() - 1);
-        let mut ends = self.partial[start..].windows(EVENT_END.len());
-        let Some(end) = ends.rposition(|window| window == EVENT_END) else {
-            self.searched = self.partial.len();
+        let Some(end) = self.scanner.advance(bytes) else {
             return if self.partial.len() > MAX_EVENT_BYTES {
                 Err(EventTooLarge)
             } else {
                 Ok(Bytes::new())
             };
         };
-        let whole = self
-            .partial
-            .split_to(start + end + EVENT_END.len())
-            .freeze();
-        self.searched = 0;
+        let whole = self.partial.split_to(held + end).freeze();
         self.last_id = last_id_in(&whole).or(self.last_id);
         Ok(whole)
     }
@@ -73,13 +63,14 @@
 
     /// Removes and returns the bytes after the last whole event.
     pub(crate) fn take_partial(&mut self) -> Bytes {
-        self.searched = 0;
+        self.scanner = EventScanner::default();
         std::mem::take(&mut self.partial).freeze()
     }
 }
 
 fn last_id_in(events: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(events).ok()?;
-    let ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
+    let lines = text.split(['\n', '\r']);
+    let ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
     ids.filter_map(|id| id.trim().parse().ok()).next_back()
 }
