Test the check of the end of a stream by itself

Without the condition on the framing no test failed: an empty stream that is chunked or has a length is whole. Two cases fail without it now. Says what the event FirstByte stands for.

--- a/crates/dogwoodshunt_border/src/tests.rs
+++ b/crates/dogwoodshunt_border/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod connection_pool;
 mod sse;
+mod stream_end;
 
 use crate::http::body;
 use crate::http::body::BodyError;
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -110,7 +110,8 @@
         /// How the run has ended.
         end: RunEnd,
     },
-    /// The first byte of the response to a granted run has arrived.
+    /// The engine has begun to answer a granted run: the first whole event of a stream, or the
+    /// first byte of another response, has arrived.
     FirstByte {
         /// Placement by which the run was granted.
         placement_id: PlacementId,
