--- a/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
@@ -69,6 +69,9 @@
     agent.handle_and_decide(Event::ReportPolled(None));
     let crashes = agent.take_crashes();
     assert_eq!(crashes.len(), 1, "{crashes:?}");
+    agent.now += Duration::from_secs(1);
+    agent.handle_and_decide(Event::ReportPolled(None));
+    assert!(agent.take_crashes().is_empty());
     assert_eq!(crashes[0].started, 100);
     assert_eq!(crashes[0].age, Duration::from_millis(150));
     let mut suspects = crashes[0].suspects.clone();
@@ -82,6 +85,21 @@
     assert_eq!(agent.take_crashes().len(), 1);
 }
 
+#[test]
+fn run_that_was_answered_long_ago_is_no_suspect() {
+    let mut agent = TestAgent::owning_named_engine();
+    let request = agent.run_prompt(&[1, 10]);
+    agent.receive_frame(Frame::FirstByte { request });
+    for _ in 0..30 {
+        agent.now += Duration::from_millis(500);
+        agent.receive_frame(Frame::Heartbeat(Box::default()));
+        agent.receive_report(|_| {});
+    }
+    agent.end_run(request, true);
+    agent.handle_and_decide(Event::ReportPolled(None));
+    assert!(agent.take_crashes().is_empty());
+}
+
 #[test]
 fn report_is_polled_at_once_after_a_run_broke_off() {
     let mut agent = TestAgent::owning_named_engine();
