Log the limits that upstreams name

Entries now log each change of the limit of an upstream that their responses show ("upstream limits requests"), agents that of the reports of their engine ("engine report limits requests"). Nothing decides by it yet.

A limit ends with a response without one to a request that was sent under it; a request sent before may be answered later without saying anything about the limit.

--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -201,6 +201,15 @@
             self.on_crash(now);
             self.engine.identity = None;
         }
+        let previous_limit = self
+            .engine
+            .report
+            .as_ref()
+            .and_then(|report| report.rate_limit);
+        if previous_limit != report.rate_limit {
+            info!(self.context.log, "engine report limits requests";
+                "limit" => report.rate_limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string()));
+        }
         self.engine.last_report_at = now;
         self.engine.accepted_orders = report.accepted_orders;
         self.engine.report = Some(report);
--- a/crates/dogwoodshunt_engine_agent/src/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/engine.rs
@@ -4,6 +4,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::NodeId;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use snafu::Snafu;
@@ -23,6 +24,8 @@
     /// Whether the engine is leaving: it finishes its requests and accepts no new
     /// ones.
     pub leaving: bool,
+    /// Limit that the engine names for the requests of all entries together.
+    pub rate_limit: Option<RateLimit>,
     /// Loaded base models.
     pub base_models: Vec<Box<str>>,
     /// Loaded adapters.
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -18,7 +18,9 @@
 use crate::metrics::ServiceOutcomeLabels;
 use crate::platform::Announcement;
 use crate::platform::Dispatch;
+use crate::platform::ExecutionStatus;
 use crate::platform::UpstreamClient;
+use crate::platform::UpstreamResponse;
 use async_channel::Sender;
 use bytes::Bytes;
 use dogwoodshunt_border::http::Exchange;
@@ -303,9 +305,16 @@
         &self,
         service: &ServiceName,
         dispatch: &Dispatch,
-        announcement: Announcement,
+        response: &UpstreamResponse,
     ) {
-        if announcement == Announcement::default() {
+        let announcement = response.announcement;
+        let is_from_upstream = matches!(
+            response.execution_status,
+            ExecutionStatus::Executed | ExecutionStatus::RefusedFull
+        );
+        let ends_rate_limit =
+            dispatch.rate_limited && is_from_upstream && announcement.rate_limit.is_none();
+        if announcement == Announcement::default() && !ends_rate_limit {
             return;
         }
         let event = ControlEvent::UpstreamAnnounced {
@@ -313,6 +322,7 @@
             upstream: dispatch.upstream.clone(),
             started: dispatch.started,
             announcement,
+            ends_rate_limit,
         };
         // The channel is unbounded and closes only while the process exits.
         let _ = self.events.try_send(event);
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -282,6 +282,7 @@
             time_left,
             rank: routed.route.rank,
             resume_after,
+            rate_limited: grant.rate_limited,
         };
         let sent = async { Some(self.upstream_client.send(&routed.call, &dispatch).await) };
         let timeout = async {
@@ -298,11 +299,7 @@
                 ("lost", Err(SendFailure::MayHaveRun(message)))
             }
             Some(Ok(upstream_response)) => {
-                self.report_announcement(
-                    &routed.service,
-                    &dispatch,
-                    upstream_response.announcement,
-                );
+                self.report_announcement(&routed.service, &dispatch, &upstream_response);
                 (
                     upstream_response.execution_status.as_str(),
                     classify_response(upstream_response, guard),
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -175,6 +175,7 @@
             time_left: routed.deadline.saturating_duration_since(now),
             rank: routed.route.rank,
             resume_after: None,
+            rate_limited: selected.rate_limited,
         };
         let mut guard = CallGuard {
             service: routed.service.clone(),
@@ -221,7 +222,7 @@
             Err(SendError::NotSent { message, .. }) => return SendOutcome::Unreached(message),
             Err(SendError::Lost { message, .. }) => return SendOutcome::MayHaveRun(message),
         };
-        self.report_announcement(&routed.service, dispatch, upstream_response.announcement);
+        self.report_announcement(&routed.service, dispatch, &upstream_response);
         let mut exchange = upstream_response.exchange;
         match upstream_response.execution_status {
             ExecutionStatus::RefusedFull | ExecutionStatus::Misdirected => SendOutcome::Refused,
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -1,16 +1,17 @@
 //! Control state of an entry, owned by one thread.
 //!
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
-//! engines, `quarantine` refuses prompts that crash engines, `store` applies the records of the platform's store, `placement`
-//! places model requests on engines, `announcements` applies what upstreams announce in
-//! their responses, and `plain_service` selects upstreams of
-//! plain services, which have no engines.
+//! engines, `quarantine` refuses prompts that crash engines, `store` applies the records of the
+//! platform's store, `placement` places model requests on engines, `announcements` and
+//! `rate_limits` apply what upstreams announce in their responses, and `plain_service` selects
+//! upstreams of plain services, which have no engines.
 
 mod agents;
 mod announcements;
 mod placement;
 mod plain_service;
 mod quarantine;
+mod rate_limits;
 pub mod shared_state;
 mod store;
 
@@ -26,6 +27,7 @@
 use crate::control::placement::GrantedRun;
 use crate::control::placement::PendingPlacement;
 use crate::control::plain_service::RetryBudgets;
+use crate::control::rate_limits::RateLimits;
 use crate::control::shared_state::SharedState;
 use crate::metrics::Metrics;
 use crate::metrics::StoreOutcomeLabels;
@@ -175,6 +177,8 @@
         started: UnixMillis,
         /// The announcement.
         announcement: Announcement,
+        /// Whether the request was sent under a limit that the response does not name any more.
+        ends_rate_limit: bool,
     },
     /// The process has been told to stop.
     Stop,
@@ -227,6 +231,7 @@
     registry: UpstreamRegistry,
     pools: HashMap<ServiceName, UpstreamPool>,
     pauses: Pauses,
+    rate_limits: RateLimits,
     /// Prompt parts that have crashed the engines of each service.
     quarantines: HashMap<ServiceName, PromptQuarantine>,
     declared_versions: HashMap<AdapterName, AdapterRef>,
@@ -262,6 +267,7 @@
             registry: UpstreamRegistry::default(),
             pools: HashMap::new(),
             pauses: Pauses::default(),
+            rate_limits: RateLimits::default(),
             quarantines: HashMap::new(),
             declared_versions: HashMap::new(),
             store_era: 0,
@@ -345,7 +351,13 @@
                 upstream,
                 started,
                 announcement,
-            } => self.on_announcement(now, &service, &upstream, started, announcement),
+                ends_rate_limit,
+            } => {
+                self.on_announcement(now, &service, &upstream, started, announcement);
+                if announcement.rate_limit.is_some() || ends_rate_limit {
+                    self.on_rate_limit(now, &upstream, started, announcement.rate_limit);
+                }
+            }
             ControlEvent::Stop => self.shutting_down = true,
             ControlEvent::StoreReachable(topic) => {
                 self.count_store_request(topic, "answered");
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -75,6 +75,8 @@
     pub target: Target,
     /// Id of this attempt in the frames exchanged with the agent.
     pub request: RequestId,
+    /// Whether the upstream is known to limit the requests of all entries together.
+    pub rate_limited: bool,
 }
 
 /// How a granted run has ended.
@@ -240,6 +242,10 @@
             placement_id,
             pending,
             Grant {
+                rate_limited: self
+                    .rate_limits
+                    .limit(&engine.name, engine.started)
+                    .is_some(),
                 upstream: engine.name,
                 address: engine.address,
                 started: engine.started,
@@ -297,6 +303,7 @@
             return;
         };
         let (address, started) = (engine.address, engine.started);
+        let rate_limited = self.rate_limits.limit(&upstream, started).is_some();
         self.start_run(
             now,
             placement_id,
@@ -307,6 +314,7 @@
                 started,
                 target,
                 request,
+                rate_limited,
             },
         );
     }
--- a/crates/dogwoodshunt_gateway/src/control/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/control/plain_service.rs
@@ -40,6 +40,8 @@
     pub address: SocketAddr,
     /// Start time of the upstream process.
     pub started: UnixMillis,
+    /// Whether the upstream is known to limit the requests of all entries together.
+    pub rate_limited: bool,
 }
 
 /// This entry's share of the retries that each service may receive.
@@ -131,6 +133,7 @@
         let pool = self.pools.get_mut(&service).ok_or(none_available)?;
         match pool.pick(now, &self.settings.domain, excluded) {
             Ok((upstream, member)) => Ok(SelectedUpstream {
+                rate_limited: self.rate_limits.limit(&upstream, member.started).is_some(),
                 upstream,
                 address: member.address,
                 started: member.started,
--- a/crates/dogwoodshunt_gateway/src/platform.rs
+++ b/crates/dogwoodshunt_gateway/src/platform.rs
@@ -7,6 +7,7 @@
 use dogwoodshunt_serving::Config;
 use dogwoodshunt_serving::registry::ListedUpstream;
 use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::Version;
@@ -62,6 +63,8 @@
     /// Id of the last event that the caller has received, for a stream to be
     /// resumed after that event.
     pub resume_after: Option<u64>,
+    /// Whether the upstream is known to limit the requests of all entries together.
+    pub rate_limited: bool,
 }
 
 /// Whether an upstream executes a call, according to the head of its response.
@@ -99,6 +102,8 @@
     pub leaving: bool,
     /// Time for which the upstream wants no further requests from this entry.
     pub pause: Option<Duration>,
+    /// Limit that the upstream names for the requests of all entries together.
+    pub rate_limit: Option<RateLimit>,
 }
 
 /// Response of an upstream whose head has been read and whose body has not.
--- a/crates/dogwoodshunt_gateway/src/tests/announcements.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/announcements.rs
@@ -13,12 +13,14 @@
 const LEAVING: Announcement = Announcement {
     leaving: true,
     pause: None,
+    rate_limit: None,
 };
 
 fn pause(pause: Duration) -> Announcement {
     Announcement {
         leaving: false,
         pause: Some(pause),
+        rate_limit: None,
     }
 }
 
@@ -29,6 +31,7 @@
             upstream: upstream.into(),
             started: 1,
             announcement,
+            ends_rate_limit: false,
         });
     }
 }
--- a/crates/dogwoodshunt_types/src/lib.rs
+++ b/crates/dogwoodshunt_types/src/lib.rs
@@ -4,13 +4,14 @@
 //! candidates and how violations of invariants are counted. The crate makes no
 //! serving decisions, does no I/O and reads no clock.
 //!
-//! Read [`id`] first, then [`adapter`], [`outcome`], [`rendezvous`] and
-//! [`invariant`].
+//! Read [`id`] first, then [`adapter`], [`outcome`], [`rate_limit`], [`rendezvous`]
+//! and [`invariant`].
 
 pub mod adapter;
 pub mod id;
 pub mod invariant;
 pub mod outcome;
+pub mod rate_limit;
 pub mod rendezvous;
 
 #[cfg(test)]
@@ -33,3 +34,4 @@
 pub use crate::outcome::NotRunReason;
 pub use crate::outcome::Priority;
 pub use crate::outcome::RequestOutcome;
+pub use crate::rate_limit::RateLimit;
