Keep to the rate limits that engines name

Cause: no program read the limit. Nor could one entry alone have kept to it, since the limit holds for the requests of all entries together.

Change: the agent of the engine, which grants the runs of all entries, dispatches no faster than the limit and refuses at once what would miss its latency objective by it, so that the entry asks another agent. It learns the limit from the engine's reports and from entries, which pass on what responses show, at once and again when an agent has restarted; the newest observation holds. Reports tell entries of the limit, and the router counts the wait. An engine with a limit gets no requests while its agent is away, as nothing adds up what the entries send then.

--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -7,6 +7,7 @@
 //! so that neither can reach an engine process they were not meant for.
 
 use crate::control::Control;
+use crate::control::rate_limit::RateLimitState;
 use crate::engine::EngineReport;
 use crate::engine::Order;
 use crate::engine::OrderAnswer;
@@ -57,6 +58,7 @@
     /// once, as soon as the platform lists it.
     next_identity: Option<UpstreamIdentity>,
     report: Option<EngineReport>,
+    pub(super) rate_limit: RateLimitState,
     last_report_at: Instant,
     /// Newest configured base model and capacity, with the revision of the
     /// configuration.
@@ -83,6 +85,7 @@
             identity: None,
             next_identity: None,
             report: None,
+            rate_limit: RateLimitState::default(),
             last_report_at: now,
             config: None,
             declared_versions: HashMap::new(),
@@ -102,7 +105,7 @@
         }
     }
 
-    fn started_at(&self) -> u64 {
+    pub(super) fn started_at(&self) -> u64 {
         self.report.as_ref().map_or(0, |report| report.started)
     }
 }
@@ -200,16 +203,9 @@
                 "before" => previous_started_at);
             self.on_crash(now);
             self.engine.identity = None;
+            self.engine.rate_limit = RateLimitState::default();
         }
-        let previous_limit = self
-            .engine
-            .report
-            .as_ref()
-            .and_then(|report| report.rate_limit);
-        if previous_limit != report.rate_limit {
-            info!(self.context.log, "engine report limits requests";
-                "limit" => report.rate_limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string()));
-        }
+        self.on_report_limit(now, report.rate_limit);
         self.engine.last_report_at = now;
         self.engine.accepted_orders = report.accepted_orders;
         self.engine.report = Some(report);
@@ -274,6 +270,8 @@
             }
         }
         self.scheduler.on_probe(now, key, &answer);
+        let limit = self.engine.rate_limit.limit();
+        self.scheduler.set_rate_limit(key, limit);
         self.scheduler.set_owned(self.engine.epoch.is_some());
     }
 
--- a/crates/dogwoodshunt_engine_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/links.rs
@@ -112,7 +112,12 @@
         link.last_received_at = now;
         match frame {
             Frame::Admit(admit) => self.on_admit(now, key, *admit),
-            Frame::Heartbeat(heartbeat) => link.received_heartbeat_number = heartbeat.number,
+            Frame::Heartbeat(heartbeat) => {
+                link.received_heartbeat_number = heartbeat.number;
+                if let Some(seen) = heartbeat.rate_limit {
+                    self.on_observed_limit(now, seen);
+                }
+            }
             Frame::Cancel { request } => self.on_cancel(now, request),
             Frame::Done {
                 request,
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! All input arrives as an [`Event`]. Module `links` handles the connections of
 //! entries, `runs` the runs that entries request, `engine` the reports of the
-//! engine and the orders to the engine, and `crashes` the records of its crashes.
+//! engine and the orders to the engine, `rate_limit` the limit that the engine names, and
+//! `crashes` the records of its crashes.
 
 mod crashes;
 mod engine;
 mod links;
+mod rate_limit;
 mod runs;
 
 use crate::control::crashes::CrashLog;
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -2,6 +2,7 @@
 //! a network.
 
 mod crashes;
+mod rate_limit;
 
 use crate::EngineAgentSettings;
 use crate::control::Control;
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -11,6 +11,7 @@
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Heartbeat;
 use dogwoodshunt_wire::frame::Identity;
+use dogwoodshunt_wire::frame::ObservedRateLimit;
 use dogwoodshunt_wire::frame::UpstreamConfig;
 use dogwoodshunt_wire::frame::UpstreamIdentity;
 use slog::info;
@@ -89,6 +90,8 @@
                 // Another process has not asked for the pause of the one before.
                 self.router
                     .set_paused_until(agent, self.pauses.end(upstream));
+                let limit = self.rate_limits.limit(&upstream.name, upstream.started);
+                self.router.set_rate_limited(agent, limit.is_some());
                 state.upstream = Some((*upstream).clone());
                 self.send_upstream_config(agent);
             }
@@ -166,6 +169,8 @@
         self.router.set_node(agent, identity.node);
         self.router.set_domain(agent, identity.domain);
         self.send_upstream_config(agent);
+        // An agent that has restarted learns the rate limit before it grants a run.
+        self.send_heartbeat(now, agent);
         self.resend_granted_runs(now, agent);
     }
 
@@ -299,24 +304,19 @@
     /// sent no frame for [`MAX_MISSED_HEARTBEATS`] intervals.
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
         let timeout = self.settings.heartbeat_interval * MAX_MISSED_HEARTBEATS;
-        let mut timed_out = Vec::new();
-        for (agent, state) in &mut self.agents {
-            let Some(tx) = &state.tx else { continue };
+        let (mut due, mut timed_out) = (Vec::new(), Vec::new());
+        for (agent, state) in &self.agents {
+            if !state.is_connected() {
+                continue;
+            }
             if now.saturating_duration_since(state.last_frame_at) >= timeout {
                 timed_out.push(*agent);
                 continue;
             }
-            state.last_sent_heartbeat += 1;
-            let heartbeat = Heartbeat {
-                number: state.last_sent_heartbeat,
-                echo: state.last_received_heartbeat,
-                fresh: true,
-                leaving: self.shutting_down,
-                ..Heartbeat::default()
-            };
-            // A failed send is ignored: the connector reports the closed
-            // connection.
-            let _ = tx.try_send(Frame::Heartbeat(Box::new(heartbeat)));
+            due.push(*agent);
+        }
+        for agent in due {
+            self.send_heartbeat(now, agent);
         }
         for agent in timed_out {
             warn!(self.context.log, "agent silent"; "agent" => self.agent_address(agent));
@@ -324,6 +324,33 @@
         }
     }
 
+    /// Sends an agent a heartbeat, with what is known of the rate limit of its engine.
+    pub(super) fn send_heartbeat(&mut self, now: Instant, agent: AgentKey) {
+        let engine = self.engine_identity(agent);
+        let rate_limit = engine.and_then(|engine| {
+            let seen = self.rate_limits.get(&engine.name, engine.started)?;
+            Some(ObservedRateLimit {
+                started: engine.started,
+                limit: seen.limit,
+                age: now.saturating_duration_since(seen.at),
+            })
+        });
+        let Some(state) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        state.last_sent_heartbeat += 1;
+        let heartbeat = Heartbeat {
+            number: state.last_sent_heartbeat,
+            echo: state.last_received_heartbeat,
+            fresh: true,
+            leaving: self.shutting_down,
+            rate_limit,
+            ..Heartbeat::default()
+        };
+        // A failed send is ignored: the connector reports the closed connection.
+        self.send(agent, Frame::Heartbeat(Box::new(heartbeat)));
+    }
+
     pub(super) fn send_upstream_config_to_all(&mut self) {
         let agents: Vec<AgentKey> = self.agents.keys().copied().collect();
         agents
--- a/crates/dogwoodshunt_gateway/src/control/announcements.rs
+++ b/crates/dogwoodshunt_gateway/src/control/announcements.rs
@@ -94,7 +94,7 @@
     }
 
     /// Returns the agent of the engine process `upstream` that started at `started`.
-    fn agent_of_engine(&self, upstream: &str, started: UnixMillis) -> Option<AgentKey> {
+    pub(super) fn agent_of_engine(&self, upstream: &str, started: UnixMillis) -> Option<AgentKey> {
         let is_engine = |agent: &AgentKey| {
             let identity = self.engine_identity(*agent);
             identity.is_some_and(|engine| *engine.name == *upstream && engine.started == started)
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -242,10 +242,7 @@
             placement_id,
             pending,
             Grant {
-                rate_limited: self
-                    .rate_limits
-                    .limit(&engine.name, engine.started)
-                    .is_some(),
+                rate_limited: false,
                 upstream: engine.name,
                 address: engine.address,
                 started: engine.started,
@@ -303,7 +300,10 @@
             return;
         };
         let (address, started) = (engine.address, engine.started);
-        let rate_limited = self.rate_limits.limit(&upstream, started).is_some();
+        let rate_limited = self
+            .router
+            .agent(agent)
+            .is_some_and(|a| a.is_rate_limited());
         self.start_run(
             now,
             placement_id,
--- a/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
+++ b/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
@@ -1,5 +1,8 @@
 //! Limits that upstreams name in their responses for the requests of all entries together.
 //!
+//! The agent of an engine keeps to the limit, since it grants the runs of all entries. Entries
+//! tell it what they see.
+//!
 //! A limit holds for one process of an upstream, until a response without a limit arrives to
 //! a request that was sent under it.
 
@@ -80,9 +83,14 @@
         started: UnixMillis,
         limit: Option<RateLimit>,
     ) {
-        if self.rate_limits.observe(now, upstream, started, limit) {
-            info!(self.context.log, "upstream limits requests"; "upstream" => upstream,
-                "started" => started, "limit" => limit_text(limit));
+        if !self.rate_limits.observe(now, upstream, started, limit) {
+            return;
+        }
+        info!(self.context.log, "upstream limits requests"; "upstream" => upstream,
+            "started" => started, "limit" => limit_text(limit));
+        if let Some(agent) = self.agent_of_engine(upstream, started) {
+            self.router.set_rate_limited(agent, limit.is_some());
+            self.send_heartbeat(now, agent);
         }
     }
 }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -3,6 +3,7 @@
 mod announcements;
 mod overview;
 mod quarantine;
+mod rate_limits;
 mod restore;
 mod sse;
 
@@ -339,6 +340,8 @@
             ready: ready.collect(),
             loading: Vec::new(),
             kv_tokens: 100_000,
+            rate_limit: None,
+            waits_for_rate: false,
             engine: Some(EngineLoad {
                 prefill_tokens_per_second: 30_000,
                 free_slots: 4,
--- a/crates/dogwoodshunt_grants/src/tests.rs
+++ b/crates/dogwoodshunt_grants/src/tests.rs
@@ -32,6 +32,8 @@
         ready: Vec::new(),
         loading: loading.collect(),
         kv_tokens: 0,
+        rate_limit: None,
+        waits_for_rate: false,
         engine: None,
     };
     Report {
--- a/crates/dogwoodshunt_load/src/scaling/fixtures.rs
+++ b/crates/dogwoodshunt_load/src/scaling/fixtures.rs
@@ -108,6 +108,8 @@
         ready: (first..first + ready).map(adapter).collect(),
         loading: vec![adapter(first + ready)],
         kv_tokens: 0,
+        rate_limit: None,
+        waits_for_rate: false,
         engine: None,
     };
     Report {
--- a/crates/dogwoodshunt_residency/src/job.rs
+++ b/crates/dogwoodshunt_residency/src/job.rs
@@ -118,6 +118,12 @@
 }
 
 impl Job<Queued> {
+    /// Returns until when a dispatch is of use to the caller: until the latency objective, if
+    /// there is one, or else the deadline.
+    pub(crate) fn useful_until(&self) -> Option<Instant> {
+        self.slo_deadline.or(self.deadline)
+    }
+
     /// Creates a queued job of unknown demand.
     pub fn new(
         request: RequestId,
--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -10,6 +10,7 @@
 use crate::job::Target;
 use crate::scheduler::Scheduler;
 use crate::upstream::BaseModelState;
+use crate::upstream::MAX_DISPATCH_DELAY;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamKey;
 use crate::upstream::UpstreamKind;
@@ -17,6 +18,7 @@
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
+use slotmap::SecondaryMap;
 use std::time::Instant;
 
 /// Check of whether a target may run now.
@@ -45,12 +47,13 @@
         }
     }
 
-    fn can_run_now(&self, target: &Target) -> bool {
+    fn can_run_now(&self, now: Instant, target: &Target) -> bool {
         let adapter_ready = target
             .adapter()
             .is_none_or(|adapter| self.is_ready(adapter));
         let base_model_ready = self.base_model_state == BaseModelState::Ready;
         self.takes_work()
+            && self.is_within_rate(now)
             && self.has_batch_capacity()
             && self.can_serve(target)
             && adapter_ready
@@ -80,11 +83,13 @@
     /// Runs one planning step and returns the actions to carry out.
     ///
     /// The step refuses expired jobs, loads missing base models, dispatches jobs,
-    /// unloads drained adapters and starts loads, in this order.
+    /// refuses jobs that rate limits keep waiting for too long, unloads drained adapters and
+    /// starts loads, in this order.
     pub fn plan(&mut self, now: Instant, admission_check: &dyn AdmissionCheck) -> Vec<Action> {
         let mut actions = self.refuse_expired(now);
         self.load_base_models(now, &mut actions);
         self.dispatch_queued(now, admission_check, &mut actions);
+        self.refuse_beyond_rate(now, &mut actions);
         self.unload_drained(&mut actions);
         self.start_loads(now, &mut actions);
         let _holds = self.check_invariants();
@@ -124,7 +129,7 @@
             let AnyJob::Queued(job) = &self.jobs[key] else {
                 continue;
             };
-            let Some(upstream) = self.least_busy_upstream(&job.target, &saturated) else {
+            let Some(upstream) = self.least_busy_upstream(now, &job.target, &saturated) else {
                 continue;
             };
             if !self.has_token_capacity(upstream, job) {
@@ -138,6 +143,44 @@
         }
     }
 
+    /// Refuses queued jobs that the rate limits of the upstreams keep waiting for too long, so
+    /// that they can run on other agents in time.
+    fn refuse_beyond_rate(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        if self.upstreams.values().all(|u| u.rate_limit.is_none()) {
+            return;
+        }
+        let mut next_dispatch: SecondaryMap<UpstreamKey, Instant> = SecondaryMap::new();
+        let mut refused: Vec<(JobKey, Instant)> = Vec::new();
+        for key in self.sorted_queue(now) {
+            let AnyJob::Queued(job) = &self.jobs[key] else {
+                continue;
+            };
+            let able = self.upstreams.iter();
+            let able = able.filter(|(_, u)| u.takes_work() && u.can_serve(&job.target));
+            let dispatch_times = able.map(|(key, upstream)| {
+                let known = next_dispatch.get(key).copied();
+                let at = known.or(upstream.next_dispatch_at()).unwrap_or(now);
+                (at.max(now), key, upstream.rate_limit)
+            });
+            let first = dispatch_times.min_by_key(|(at, key, limit)| (limit.is_some(), *at, *key));
+            let Some((at, upstream, Some(limit))) = first else {
+                continue;
+            };
+            if job
+                .useful_until()
+                .is_some_and(|until| until < at + MAX_DISPATCH_DELAY)
+            {
+                refused.push((key, at));
+            } else {
+                next_dispatch.insert(upstream, at + limit.interval());
+            }
+        }
+        for (key, at) in refused {
+            let wait = at.saturating_duration_since(now);
+            actions.extend(self.refuse(key, NotRun::new(NotRunReason::Overloaded, wait)));
+        }
+    }
+
     fn has_token_capacity(&self, key: UpstreamKey, job: &Job<Queued>) -> bool {
         let upstream = &self.upstreams[key];
         let backlog_ms = self.settings.max_prefill_backlog.as_secs_f64() * 1e3;
@@ -173,12 +216,13 @@
 
     fn least_busy_upstream(
         &self,
+        now: Instant,
         target: &Target,
         saturated: &[UpstreamKey],
     ) -> Option<UpstreamKey> {
         self.upstreams
             .iter()
-            .filter(|(key, upstream)| upstream.can_run_now(target) && !saturated.contains(key))
+            .filter(|(key, upstream)| upstream.can_run_now(now, target) && !saturated.contains(key))
             .min_by_key(|(_, upstream)| upstream.running)
             .map(|(key, _)| key)
     }
@@ -198,6 +242,7 @@
         };
         let boot = chosen.boot;
         chosen.running += 1;
+        chosen.record_dispatch(now);
         let pending_prefill = chosen.start_prefill(now, &job.target, &job.demand);
         let resident = job
             .target
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -3,6 +3,7 @@
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Priority;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::Version;
@@ -81,6 +82,12 @@
     pub kv_tokens: u64,
     /// Load in tokens; `None` if the capacity of the KV cache is unknown.
     pub engine: Option<EngineLoad>,
+    /// Limit that the upstream names for the requests of all senders together.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate_limit: Option<RateLimit>,
+    /// Whether the rate limit allows no dispatch yet.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub waits_for_rate: bool,
 }
 
 /// Kind of the targets that an upstream serves.
@@ -336,6 +343,7 @@
                 && a.name == b.name
                 && a.serves == b.serves
                 && (a.batch, a.slots, a.kv_tokens) == (b.batch, b.slots, b.kv_tokens)
+                && (a.rate_limit, a.waits_for_rate) == (b.rate_limit, b.waits_for_rate)
         };
         let mut pairs = self.upstreams.iter().zip(&last.upstreams);
         self.upstreams.len() == last.upstreams.len() && pairs.all(is_same)
--- a/crates/dogwoodshunt_residency/src/reporting.rs
+++ b/crates/dogwoodshunt_residency/src/reporting.rs
@@ -37,6 +37,9 @@
 /// Step to which the age of a pending load is rounded down.
 const PENDING_AGE_STEP: Duration = Duration::from_millis(250);
 
+/// Shortest wait for the rate limit of an upstream that is reported.
+const RATE_WAIT_STEP: Duration = Duration::from_millis(100);
+
 impl Scheduler {
     /// Returns a report of the current load.
     pub fn report(&self, now: Instant) -> Report {
@@ -76,6 +79,10 @@
                     capacity => capacity,
                 },
                 engine: self.engine_load(now, key),
+                rate_limit: upstream.rate_limit,
+                waits_for_rate: upstream
+                    .next_dispatch_at()
+                    .is_some_and(|at| at.saturating_duration_since(now) >= RATE_WAIT_STEP),
                 ready: with_state(|s| *s == ResidentState::Ready, key),
                 loading: with_state(|s| matches!(s, ResidentState::Loading { .. }), key),
             })
--- a/crates/dogwoodshunt_residency/src/scheduler.rs
+++ b/crates/dogwoodshunt_residency/src/scheduler.rs
@@ -20,6 +20,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
@@ -178,6 +179,7 @@
     pub fn adopt(&mut self, now: Instant, key: UpstreamKey, job: Job<Queued>) -> Option<JobKey> {
         let upstream = self.upstreams.get_mut(key)?;
         upstream.running += 1;
+        upstream.record_dispatch(now);
         upstream.tokens.reserved_kv += job.demand.max_kv_tokens();
         if let Some(adapter) = job.target.adapter() {
             let resident = upstream.residents.entry(adapter.clone());
@@ -242,6 +244,16 @@
         }
     }
 
+    /// Sets the limit that an upstream names for the requests of all senders together.
+    ///
+    /// All requests for the upstream pass through this agent, which dispatches one at a time
+    /// at that rate.
+    pub fn set_rate_limit(&mut self, key: UpstreamKey, limit: Option<RateLimit>) {
+        if let Some(upstream) = self.upstreams.get_mut(key) {
+            upstream.rate_limit = limit;
+        }
+    }
+
     /// Sets whether the whole agent is leaving.
     ///
     /// Queued jobs are refused, so that entries send them to other agents. Running
--- a/crates/dogwoodshunt_residency/src/tests.rs
+++ b/crates/dogwoodshunt_residency/src/tests.rs
@@ -3,4 +3,5 @@
 mod decisions;
 mod engine_limits;
 mod load_window;
+mod rate_limits;
 mod state_machine;
--- a/crates/dogwoodshunt_residency/src/tests/engine_limits.rs
+++ b/crates/dogwoodshunt_residency/src/tests/engine_limits.rs
@@ -26,7 +26,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-struct AllowAll;
+pub(super) struct AllowAll;
 
 impl AdmissionCheck for AllowAll {
     fn check(&self, _target: &Target) -> Result<(), NotRun> {
@@ -37,15 +37,15 @@
 /// Maximum number of concurrent loads of the engine.
 const MAX_CONCURRENT_LOADS: usize = 4;
 
-struct Engine {
-    scheduler: Scheduler,
-    key: UpstreamKey,
-    response: ProbeResponse,
+pub(super) struct Engine {
+    pub(super) scheduler: Scheduler,
+    pub(super) key: UpstreamKey,
+    pub(super) response: ProbeResponse,
     next_request: u64,
 }
 
 impl Engine {
-    fn new(now: Instant, slots: usize, resident: &[&str]) -> Self {
+    pub(super) fn new(now: Instant, slots: usize, resident: &[&str]) -> Self {
         let mut scheduler = Scheduler::new(
             SchedulerSettings::builder()
                 .fallback_loads_per_second(1_000.0)
@@ -79,7 +79,13 @@
         }
     }
 
-    fn job(&mut self, now: Instant, name: &str, prompt: u32, rank: u8) -> Job<crate::job::Queued> {
+    pub(super) fn job(
+        &mut self,
+        now: Instant,
+        name: &str,
+        prompt: u32,
+        rank: u8,
+    ) -> Job<crate::job::Queued> {
         self.next_request += 1;
         let request = RequestId {
             entry_boot: 1,
@@ -100,16 +106,16 @@
         Job::new(request, target, Priority::Normal, now, deadline).with_demand(demand, slo_deadline)
     }
 
-    fn submit(&mut self, now: Instant, name: &str, prompt: u32, rank: u8) -> JobKey {
+    pub(super) fn submit(&mut self, now: Instant, name: &str, prompt: u32, rank: u8) -> JobKey {
         let job = self.job(now, name, prompt, rank);
         self.scheduler.submit(now, job, &AllowAll).unwrap()
     }
 
-    fn plan(&mut self, now: Instant) -> Vec<Action> {
+    pub(super) fn plan(&mut self, now: Instant) -> Vec<Action> {
         self.scheduler.plan(now, &AllowAll)
     }
 
-    fn dispatched(&mut self, now: Instant) -> Vec<JobKey> {
+    pub(super) fn dispatched(&mut self, now: Instant) -> Vec<JobKey> {
         let actions = self.plan(now);
         let jobs = actions.into_iter().filter_map(|action| match action {
             Action::Dispatch { job, .. } => Some(job),
@@ -118,7 +124,7 @@
         jobs.collect()
     }
 
-    fn probe(&mut self, now: Instant, resident: &[&str], loading: &[&str]) {
+    pub(super) fn probe(&mut self, now: Instant, resident: &[&str], loading: &[&str]) {
         self.response.resident = resident.iter().map(|text| adapter(text)).collect();
         self.response.loading = Some(loading.iter().map(|text| adapter(text)).collect());
         self.scheduler.on_probe(now, self.key, &self.response);
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -6,6 +6,7 @@
 use crate::settings::SchedulerSettings;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::UpstreamName;
 use std::collections::BTreeMap;
@@ -16,6 +17,10 @@
 /// responses to probes.
 const LOAD_REPORT_LAG: Duration = Duration::from_millis(400);
 
+/// Longest time between two planning steps, within which a dispatch follows the moment at which
+/// the rate limit allows it.
+pub(crate) const MAX_DISPATCH_DELAY: Duration = Duration::from_millis(40);
+
 slotmap::new_key_type! {
     /// Identifies an upstream of this agent.
     pub struct UpstreamKey;
@@ -167,6 +172,10 @@
     pub owned: bool,
     /// Limits of the upstream, as last reported.
     pub limits: Limits,
+    /// Limit that the upstream names for the requests of all senders together.
+    pub rate_limit: Option<RateLimit>,
+    /// Time of the last dispatch to the upstream.
+    last_dispatch_at: Option<Instant>,
     /// State of the base model; always `Ready` for a plain service.
     pub base_model_state: BaseModelState,
     /// Number of this agent's jobs that run on the upstream.
@@ -192,6 +201,8 @@
             leaving: false,
             owned: false,
             limits: Limits::new(0, 0),
+            rate_limit: None,
+            last_dispatch_at: None,
             base_model_state: BaseModelState::Ready,
             running: 0,
             tokens: TokenLoad {
@@ -211,6 +222,25 @@
         self.reachability == Reachability::Up && !self.leaving
     }
 
+    /// Returns the time at which the rate limit allows the next dispatch; `None` if there is no
+    /// limit or it allows one at any time.
+    pub fn next_dispatch_at(&self) -> Option<Instant> {
+        Some(self.last_dispatch_at? + self.rate_limit?.interval())
+    }
+
+    /// Returns whether the rate limit allows a dispatch now.
+    pub fn is_within_rate(&self, now: Instant) -> bool {
+        self.next_dispatch_at().is_none_or(|at| at <= now)
+    }
+
+    /// Records a dispatch. One that comes at most [`MAX_DISPATCH_DELAY`] after the rate limit
+    /// allowed it counts from then, so that planning steps do not lower the rate.
+    pub(crate) fn record_dispatch(&mut self, now: Instant) {
+        let allowed_at = self.next_dispatch_at();
+        let is_delayed = |at: &Instant| *at <= now && now - *at <= MAX_DISPATCH_DELAY;
+        self.last_dispatch_at = allowed_at.filter(is_delayed).or(Some(now));
+    }
+
     /// Returns whether one more request fits into the batch.
     pub fn has_batch_capacity(&self) -> bool {
         self.running < self.limits.batch
@@ -335,6 +365,8 @@
         if self.boot != Some(boot) {
             previous.clear();
             self.running = 0;
+            // Another process has not named the limit of the one before.
+            self.rate_limit = None;
             self.tokens.pending_prefill = 0;
             self.tokens.reserved_kv = 0;
             self.tokens.prefixes.clear();
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -61,6 +61,9 @@
     /// Such an engine serves only the adapters that are already loaded, since only
     /// the agent can load another one.
     pub unattended: bool,
+    /// Whether a response has named a limit on the requests of all entries to the engine. The
+    /// agent keeps to the limit, so without the agent the engine gets no requests.
+    pub rate_limited: bool,
     /// Latest load report and the time of its arrival.
     report: Option<(Instant, Report)>,
     /// Number of attempts that this entry has in flight on the agent.
@@ -86,6 +89,7 @@
             leaving: false,
             paused_until: None,
             unattended: false,
+            rate_limited: false,
             report: None,
             in_flight: 0,
             in_flight_by_adapter: HashMap::new(),
@@ -147,6 +151,16 @@
         recent.map(|(_, tokens)| tokens).sum()
     }
 
+    /// Returns the number of attempts that were sent too recently for a load report to reflect
+    /// them.
+    pub fn unreported_attempts(&self, now: Instant) -> usize {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < MAX_REPORT_LAG;
+        self.unreported
+            .iter()
+            .filter(|(at, _)| is_recent(at))
+            .count()
+    }
+
     /// Records the prompt of an attempt that is sent to the agent: its prefix as
     /// cached by the engine, and its uncached tokens as not reported yet.
     pub fn record_prompt(&mut self, now: Instant, target: &Target, demand: &Demand) {
@@ -209,14 +223,23 @@
     ///
     /// Without the agent there is no admission control, so each entry limits its
     /// own requests in flight to 8. An adapter must be loaded already, since only
-    /// the agent can load one.
+    /// the agent can load one. An engine that limits the requests of all entries gets none.
     pub fn accepts_unattended(&self, target: &Target) -> bool {
+        if self.is_rate_limited() {
+            return false;
+        }
         let is_ready = target
             .adapter()
             .is_none_or(|adapter| self.presence(adapter) == Presence::Ready);
         is_ready && self.in_flight < MAX_UNATTENDED_IN_FLIGHT
     }
 
+    /// Returns whether the engine limits the requests of all entries, as far as known.
+    pub fn is_rate_limited(&self) -> bool {
+        let mut upstreams = self.report.iter().flat_map(|(_, report)| &report.upstreams);
+        self.rate_limited || upstreams.any(|upstream| upstream.rate_limit.is_some())
+    }
+
     /// Removes `adapter` from the ready adapters of the latest report, since the
     /// engine does not have it.
     pub fn mark_adapter_missing(&mut self, adapter: &AdapterRef) {
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -85,6 +85,26 @@
     }
 }
 
+/// Returns the expected wait until the rate limit of an upstream allows the request, in seconds;
+/// zero without a limit or a current report.
+///
+/// The agent dispatches its queue at the rate of the limit. If the limit allows no dispatch yet,
+/// half an interval passes before the first one on average.
+fn rate_wait_s(now: Instant, agent: &Agent, target: &Target, settings: &RouterSettings) -> f64 {
+    let Some(report) = agent.report(now, settings.max_report_age) else {
+        return 0.0;
+    };
+    let can_serve = |upstream: &&UpstreamReport| upstream.takes_work && serves(upstream, target);
+    let Some(upstream) = report.upstreams.iter().find(can_serve) else {
+        return 0.0;
+    };
+    let requests_ahead = f64::from(report.queued) + agent.unreported_attempts(now) as f64;
+    let first_wait = if upstream.waits_for_rate { 0.5 } else { 0.0 };
+    upstream.rate_limit.map_or(0.0, |limit| {
+        (requests_ahead + first_wait) * limit.interval().as_secs_f64()
+    })
+}
+
 /// Returns the expected time to the first byte of the response, in seconds.
 ///
 /// Returns `None` if the agent has no current report, if none of its upstreams
@@ -129,9 +149,10 @@
         };
         slot_wait + load_wait_s(presence, pending_load_count, settings)
     });
+    let start_wait = load_wait.max(rate_wait_s(now, agent, target, settings));
     // The engine prefills the prompts ahead while the adapter is being loaded.
     Some(
-        load_wait.max(prefill_ahead as f64 / prefill_rate) + prefill_s
+        start_wait.max(prefill_ahead as f64 / prefill_rate) + prefill_s
             - prefill_ahead as f64 / prefill_rate
             + kv_excess / kv_freed_per_second,
     )
@@ -226,6 +247,7 @@
     let unused_batch_share = 1.0 - load.batch_utilization();
     Some(
         load.batch_wait_s()
+            + rate_wait_s(now, agent, target, settings)
             + settings.stall_weight * load_wait
             + settings.batch_weight * unused_batch_share,
     )
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -145,6 +145,14 @@
         }
     }
 
+    /// Sets whether a response has named a limit on the requests of all entries to the engine
+    /// of the agent.
+    pub fn set_rate_limited(&mut self, key: AgentKey, rate_limited: bool) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.rate_limited = rate_limited;
+        }
+    }
+
     /// Sets whether the engine of the agent is reachable although the agent is not.
     pub fn set_unattended(&mut self, key: AgentKey, unattended: bool) {
         if let Some(agent) = self.agents.get_mut(key) {
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -19,6 +19,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::RateLimit;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -49,6 +50,8 @@
         ready: ready.iter().map(|name| adapter(name)).collect(),
         loading: Vec::new(),
         kv_tokens: 0,
+        rate_limit: None,
+        waits_for_rate: false,
         engine: None,
     };
     Report {
@@ -84,6 +87,21 @@
     )
 }
 
+#[test]
+fn request_avoids_an_engine_that_has_reached_its_rate_limit() {
+    let now = Instant::now();
+    let report = |waits_for_rate| {
+        let mut report = report(0, &["a"]);
+        report.upstreams[0].rate_limit = RateLimit::per_second(1.0);
+        report.upstreams[0].waits_for_rate = waits_for_rate;
+        report
+    };
+    let (mut router, keys) = router(now, &[report(true), report(false)]);
+    assert_eq!(route(&mut router, now, "a").unwrap(), keys[1]);
+    // A second request would wait for a whole interval there and for half of one here.
+    assert_eq!(route(&mut router, now, "a").unwrap(), keys[0]);
+}
+
 fn not_run(reason: NotRunReason) -> AttemptFailure {
     AttemptFailure::NotRun(NotRun::new(reason, Duration::ZERO))
 }
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -16,6 +16,7 @@
 use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::Priority;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::RequestOutcome;
 use dogwoodshunt_types::Revision;
@@ -339,6 +340,10 @@
     /// Crashes of the engine of the sending agent; each is sent once on a connection.
     #[serde(default, rename = "k", skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<EngineCrash>,
+    /// What the responses of the engine of the receiving agent have last shown the sending entry
+    /// about its rate limit.
+    #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
+    pub rate_limit: Option<ObservedRateLimit>,
     /// Number of entries connected to the sending agent; 0 from an entry.
     #[serde(default, rename = "x", skip_serializing_if = "is_default")]
     pub connected_entries: u32,
@@ -364,6 +369,20 @@
     pub suspects: Vec<Vec<PromptPartId>>,
 }
 
+/// Rate limit of an engine process, as a response of the process has shown it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ObservedRateLimit {
+    /// Start time of the engine process.
+    #[serde(rename = "b")]
+    pub started: UnixMillis,
+    /// Limit on the requests of all entries; `None` if the response has ended it.
+    #[serde(rename = "l")]
+    pub limit: Option<RateLimit>,
+    /// Time from the response to the heartbeat.
+    #[serde(rename = "a")]
+    pub age: Duration,
+}
+
 /// State of an entry that is connected to an agent, as known to the agent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerState {
--- a/crates/dogwoodshunt_wire/src/tests/reports.rs
+++ b/crates/dogwoodshunt_wire/src/tests/reports.rs
@@ -46,6 +46,8 @@
             ready: with_state(true),
             loading: with_state(false),
             kv_tokens: 235_000,
+            rate_limit: None,
+            waits_for_rate: false,
             engine: Some(EngineLoad {
                 pending_prefill: 9_200,
                 reserved_kv: 120_000 + u64::from(running),
