--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -10,7 +10,6 @@
 use crate::job::Target;
 use crate::scheduler::Scheduler;
 use crate::upstream::BaseModelState;
-use crate::upstream::MAX_DISPATCH_DELAY;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamKey;
 use crate::upstream::UpstreamKind;
@@ -19,8 +18,13 @@
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
 use slotmap::SecondaryMap;
+use std::time::Duration;
 use std::time::Instant;
 
+/// Time that is left for a planning step, the network and the first token when a rate limit
+/// decides whether a job can still have its first byte in time.
+const FIRST_BYTE_MARGIN: Duration = Duration::from_millis(100);
+
 /// Check of whether a target may run now.
 pub trait AdmissionCheck {
     /// Checks that the catalogue allows `target` and that the node's copy of the
@@ -68,6 +72,13 @@
         u64::from(demand.prompt_tokens).saturating_sub(cached)
     }
 
+    /// Returns the expected time from the dispatch of a job to its first byte, with a margin.
+    fn first_byte_time(&self, job: &Job<Queued>) -> Duration {
+        let uncached = self.uncached_tokens(&job.target, &job.demand) as f64;
+        let prefill_ms = uncached / self.tokens.prefill_rate.tokens_per_ms().max(1.0);
+        FIRST_BYTE_MARGIN + Duration::from_secs_f64(prefill_ms / 1e3)
+    }
+
     fn start_prefill(&mut self, now: Instant, target: &Target, demand: &Demand) -> u64 {
         let uncached = self.uncached_tokens(target, demand);
         self.tokens.pending_prefill += uncached;
@@ -166,9 +177,10 @@
             let Some((at, upstream, Some(limit))) = first else {
                 continue;
             };
+            let first_byte_at = at + self.upstreams[upstream].first_byte_time(job);
             if job
                 .useful_until()
-                .is_some_and(|until| until < at + MAX_DISPATCH_DELAY)
+                .is_some_and(|until| until < first_byte_at)
             {
                 refused.push((key, at));
             } else {
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -19,7 +19,7 @@
 
 /// Longest time between two planning steps, within which a dispatch follows the moment at which
 /// the rate limit allows it.
-pub(crate) const MAX_DISPATCH_DELAY: Duration = Duration::from_millis(40);
+const MAX_DISPATCH_DELAY: Duration = Duration::from_millis(40);
 
 slotmap::new_key_type! {
     /// Identifies an upstream of this agent.
