Share the rate limits of plain upstreams among the entries

Cause: the same as for engines. Here no process grants all requests, so each entry needs a share of its own.

Change: agents tell each entry its rank among those connected to them. Entries with a share send at limit / sharers; as each may have saved one request, a low limit is shared by three entries and one more for each request a second. The others probe in times of their own, so that they learn when the limit ends. What is beyond is refused at once with the time of the next share.

The test of the pool plays 1 to 1,400 entries at limits of 0 to 40, pressed all the while and after pauses of 900 and 20,000 s.

--- a/crates/dogwoodshunt_engine_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/links.rs
@@ -29,6 +29,8 @@
 /// Connection of one entry.
 pub(super) struct LinkState {
     pub(super) entry: Identity,
+    /// Position among the connected entries, in the order of their names.
+    rank: u32,
     tx: Sender<Frame>,
     last_received_at: Instant,
     last_heartbeat_sent_at: Instant,
@@ -49,6 +51,7 @@
         self.close_earlier_links(now, &peer);
         let key = self.links.insert(LinkState {
             entry: peer,
+            rank: 0,
             tx,
             last_received_at: now,
             last_heartbeat_sent_at: now,
@@ -58,6 +61,7 @@
             sent_heartbeat_number: 0,
             received_heartbeat_number: 0,
         });
+        self.rank_entries();
         let events_tx = self.context.events_tx.clone();
         let forward_frames = async move {
             while let Ok(frame) = rx.recv().await {
@@ -76,6 +80,15 @@
         self.send_heartbeat(now, key, &report);
     }
 
+    /// Numbers the connected entries in the order of their names.
+    fn rank_entries(&mut self) {
+        let mut links: Vec<&mut LinkState> = self.links.values_mut().collect();
+        links.sort_unstable_by(|a, b| a.entry.node.cmp(&b.entry.node));
+        for (link, rank) in links.into_iter().zip(0..) {
+            link.rank = rank;
+        }
+    }
+
     /// Closes earlier connections of the same entry.
     ///
     /// If the entry has restarted, the runs of the earlier process end as well, since
@@ -102,6 +115,7 @@
         };
         warn!(self.context.log, "entry disconnected"; "entry" => %link.entry.node);
         link.tx.close();
+        self.rank_entries();
         self.mark_runs_disconnected(now, link.entry.boot);
     }
 
@@ -241,6 +255,7 @@
             epoch,
             crashes,
             connected_entries,
+            entry_rank: Some(link.rank),
             report: Some(update),
             ..Heartbeat::default()
         };
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -266,8 +266,9 @@
                 "leaving" => heartbeat.leaving);
             state.leaving = heartbeat.leaving;
         }
-        self.retry_budgets
-            .set_entry_count(now, heartbeat.connected_entries);
+        self.entries
+            .on_report(now, heartbeat.connected_entries, heartbeat.entry_rank);
+        self.retry_budgets.set_entry_count(self.entries.count());
         self.on_engine_crashes(now, agent, &heartbeat.crashes);
         if let Some(mut update) = heartbeat.report {
             if let (true, ReportUpdate::Full(report)) = (heartbeat.leaving, &mut update) {
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -3,11 +3,12 @@
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
 //! engines, `quarantine` refuses prompts that crash engines, `store` applies the records of the
 //! platform's store, `placement` places model requests on engines, `announcements` and
-//! `rate_limits` apply what upstreams announce in their responses, and `plain_service` selects
-//! upstreams of plain services, which have no engines.
+//! `rate_limits` apply what upstreams announce in their responses, `entries` keeps the number of
+//! entries, and `plain_service` selects upstreams of plain services, which have no engines.
 
 mod agents;
 mod announcements;
+mod entries;
 mod placement;
 mod plain_service;
 mod quarantine;
@@ -24,6 +25,7 @@
 use crate::control::agents::AgentState;
 use crate::control::agents::DisconnectCause;
 use crate::control::announcements::Pauses;
+use crate::control::entries::Entries;
 use crate::control::placement::GrantedRun;
 use crate::control::placement::PendingPlacement;
 use crate::control::plain_service::RetryBudgets;
@@ -239,6 +241,7 @@
     store_era: StoreEra,
     /// Era of the store in which the configuration in force was read.
     config_era: StoreEra,
+    entries: Entries,
     retry_budgets: RetryBudgets,
     pending: HashMap<PlacementId, PendingPlacement>,
     granted_runs: HashMap<PlacementId, GrantedRun>,
@@ -256,7 +259,9 @@
         router: Router,
         now: Instant,
     ) -> Self {
-        let retry_budgets = RetryBudgets::new(settings.retry_ratio, settings.retry_slack);
+        let entries = Entries::default();
+        let retry_budgets =
+            RetryBudgets::new(settings.retry_ratio, settings.retry_slack, entries.count());
         Self {
             context,
             settings,
@@ -272,6 +277,7 @@
             declared_versions: HashMap::new(),
             store_era: 0,
             config_era: 0,
+            entries,
             retry_budgets,
             pending: HashMap::new(),
             granted_runs: HashMap::new(),
@@ -355,7 +361,7 @@
             } => {
                 self.on_announcement(now, &service, &upstream, started, announcement);
                 if announcement.rate_limit.is_some() || ends_rate_limit {
-                    self.on_rate_limit(now, &upstream, started, announcement.rate_limit);
+                    self.on_rate_limit(now, &service, &upstream, started, announcement.rate_limit);
                 }
             }
             ControlEvent::Stop => self.shutting_down = true,
--- a/crates/dogwoodshunt_gateway/src/control/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/control/plain_service.rs
@@ -20,14 +20,6 @@
 /// covers the refill of a budget within the window in which its burst was spent.
 const SLACK_FRACTION: f64 = 0.8;
 
-/// Number of entries assumed until an agent reports their number; a high value
-/// makes the share of this entry too small rather than too large.
-const INITIAL_ENTRY_COUNT: u32 = 16;
-
-/// Time for which the highest reported number of entries remains valid: an
-/// entry that is cut off continues to use its own share.
-const ENTRY_COUNT_TTL: Duration = Duration::from_secs(30);
-
 /// Retry-after time sent to a caller while a service has no upstream.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -49,17 +41,15 @@
     ratio: f64,
     slack: f64,
     entry_count: u32,
-    entry_count_set_at: Option<Instant>,
     by_service: HashMap<ServiceName, RetryBudget>,
 }
 
 impl RetryBudgets {
-    pub(super) fn new(ratio: f64, slack: f64) -> Self {
+    pub(super) fn new(ratio: f64, slack: f64, entry_count: u32) -> Self {
         Self {
             ratio,
             slack,
-            entry_count: INITIAL_ENTRY_COUNT,
-            entry_count_set_at: None,
+            entry_count,
             by_service: HashMap::new(),
         }
     }
@@ -77,19 +67,15 @@
         }
     }
 
-    /// Applies the number of entries that an agent reports. A lower number than
-    /// the present one is applied only after [`ENTRY_COUNT_TTL`].
-    pub(super) fn set_entry_count(&mut self, now: Instant, entry_count: u32) {
-        let age = self
-            .entry_count_set_at
-            .map(|set_at| now.saturating_duration_since(set_at));
-        if age.is_none_or(|age| age >= ENTRY_COUNT_TTL) || entry_count >= self.entry_count {
-            self.entry_count = entry_count.max(1);
-            self.entry_count_set_at = Some(now);
-            let burst = self.burst();
-            for budget in self.by_service.values_mut() {
-                budget.set_burst(burst);
-            }
+    /// Applies the number of entries that share the slack.
+    pub(super) fn set_entry_count(&mut self, entry_count: u32) {
+        if entry_count == self.entry_count {
+            return;
+        }
+        self.entry_count = entry_count;
+        let burst = self.burst();
+        for budget in self.by_service.values_mut() {
+            budget.set_burst(burst);
         }
     }
 
@@ -131,9 +117,10 @@
         }
         let none_available = NotRun::new(NotRunReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER);
         let pool = self.pools.get_mut(&service).ok_or(none_available)?;
+        pool.set_place(self.entries.place());
         match pool.pick(now, &self.settings.domain, excluded) {
             Ok((upstream, member)) => Ok(SelectedUpstream {
-                rate_limited: self.rate_limits.limit(&upstream, member.started).is_some(),
+                rate_limited: member.rate_limit.is_some(),
                 upstream,
                 address: member.address,
                 started: member.started,
--- a/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
+++ b/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
@@ -1,7 +1,8 @@
 //! Limits that upstreams name in their responses for the requests of all entries together.
 //!
 //! The agent of an engine keeps to the limit, since it grants the runs of all entries. Entries
-//! tell it what they see.
+//! tell it what they see. The limit of an upstream of a plain service is divided among the
+//! entries.
 //!
 //! A limit holds for one process of an upstream, until a response without a limit arrives to
 //! a request that was sent under it.
@@ -79,6 +80,7 @@
     pub(super) fn on_rate_limit(
         &mut self,
         now: Instant,
+        service: &str,
         upstream: &str,
         started: UnixMillis,
         limit: Option<RateLimit>,
@@ -88,6 +90,9 @@
         }
         info!(self.context.log, "upstream limits requests"; "upstream" => upstream,
             "started" => started, "limit" => limit_text(limit));
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.set_rate_limit(upstream, started, limit);
+        }
         if let Some(agent) = self.agent_of_engine(upstream, started) {
             self.router.set_rate_limited(agent, limit.is_some());
             self.send_heartbeat(now, agent);
--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -167,6 +167,8 @@
             let pool = self.pools.entry(service.name.clone()).or_default();
             for upstream in of_service {
                 pool.upsert(upstream, self.pauses.end(upstream));
+                let limit = self.rate_limits.limit(&upstream.name, upstream.started);
+                pool.set_rate_limit(&upstream.name, upstream.started, limit);
             }
             let is_listed = |name: &str| listed.iter().any(|l| *l.name == *name);
             pool.retain(is_listed);
--- a/crates/dogwoodshunt_serving/src/lib.rs
+++ b/crates/dogwoodshunt_serving/src/lib.rs
@@ -10,12 +10,14 @@
 //! upstreams of other services are model engines, which need the base model and the
 //! adapter of a request.
 //!
-//! Read [`config`] first, then [`registry`], [`pool`], [`admission`] and [`quarantine`].
+//! Read [`config`] first, then [`registry`], [`pool`] with [`rate_share`], [`admission`] and
+//! [`quarantine`].
 
 pub mod admission;
 pub mod config;
 pub mod pool;
 pub mod quarantine;
+pub mod rate_share;
 pub mod registry;
 
 #[cfg(test)]
--- a/crates/dogwoodshunt_serving/src/pool.rs
+++ b/crates/dogwoodshunt_serving/src/pool.rs
@@ -4,8 +4,10 @@
 //! entries that do not know of each other's calls, and upstreams that appear
 //! healthy but fail some of their calls.
 
+use crate::rate_share::EntryPlace;
 use crate::registry::ListedUpstream;
 use dogwoodshunt_types::FailureDomain;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use std::collections::BTreeMap;
@@ -39,6 +41,10 @@
     pub started: UnixMillis,
     /// Time until which the upstream wants no calls from this entry.
     paused_until: Option<Instant>,
+    /// Limit that the upstream names for the calls of all entries together.
+    pub rate_limit: Option<RateLimit>,
+    /// When this entry last chose the upstream.
+    last_chosen_at: Option<Instant>,
     in_flight: u32,
     /// Failure rate at `last_outcome_at`, from 0 to 1.
     failure_rate: f64,
@@ -47,6 +53,15 @@
 }
 
 impl PoolMember {
+    /// Returns when the upstream takes the next call from this entry; `None` if it has asked
+    /// neither for a pause nor for a limit.
+    fn wanted_from(&self, now: Instant, name: &str, place: &EntryPlace) -> Option<Instant> {
+        let limited = self.rate_limit.zip(self.last_chosen_at);
+        let within_rate =
+            limited.map(|(limit, last)| place.next_request_at(now, name, limit, last));
+        within_rate.max(self.paused_until)
+    }
+
     /// Returns the failure rate, decayed by the time since the last outcome.
     fn decayed_failure_rate(&self, now: Instant) -> f64 {
         let age = self
@@ -59,9 +74,10 @@
 /// Reason why no upstream can be chosen for a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PickError {
-    /// All upstreams that could be chosen have asked for a pause.
+    /// All upstreams that could be chosen have asked for a pause, or this entry has used its
+    /// share of their rate limits.
     AllPaused {
-        /// Time until the first of these pauses ends.
+        /// Time until the first of them takes a call.
         ends_in: Duration,
     },
     /// Every upstream is leaving or excluded, or there is none.
@@ -82,9 +98,23 @@
 
 /// The upstreams of a plain service, with the calls in flight and the failure rates
 /// of this entry's own calls.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct UpstreamPool {
     members: BTreeMap<UpstreamName, PoolMember>,
+    place: EntryPlace,
+}
+
+impl Default for UpstreamPool {
+    /// Creates an empty pool of the only entry.
+    fn default() -> Self {
+        Self {
+            members: BTreeMap::new(),
+            place: EntryPlace {
+                entries: 1,
+                rank: None,
+            },
+        }
+    }
 }
 
 impl UpstreamPool {
@@ -100,12 +130,18 @@
                 leaving: listed.leaving,
                 started: listed.started,
                 paused_until,
+                rate_limit: None,
+                last_chosen_at: None,
                 in_flight: 0,
                 failure_rate: 0.0,
                 last_outcome_at: None,
             });
         member.address = listed.address;
         member.leaving = listed.leaving;
+        if member.started != listed.started {
+            // Another process has not named the limit of the one before.
+            member.rate_limit = None;
+        }
         member.started = listed.started;
         member.paused_until = paused_until;
     }
@@ -119,6 +155,20 @@
         }
     }
 
+    /// Sets the limit that the upstream process that started at `started` names for the calls
+    /// of all entries together.
+    pub fn set_rate_limit(&mut self, name: &str, started: UnixMillis, limit: Option<RateLimit>) {
+        let member = self.members.get_mut(name);
+        if let Some(member) = member.filter(|member| member.started == started) {
+            member.rate_limit = limit;
+        }
+    }
+
+    /// Sets the place of this entry among the entries that share rate limits.
+    pub fn set_place(&mut self, place: EntryPlace) {
+        self.place = place;
+    }
+
     /// Removes the upstreams for which `is_listed` returns false.
     pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.members.retain(|name, _| is_listed(name));
@@ -139,12 +189,13 @@
     ///
     /// The upstream with the fewest calls in flight is chosen, where a failure rate
     /// and a different failure domain count as additional calls. Upstreams that are leaving,
-    /// have asked for a pause or are in `excluded` are never chosen.
+    /// have asked for a pause or are in `excluded` are never chosen, and those that name a rate
+    /// limit no more often than the share of this entry allows.
     ///
     /// # Errors
     ///
-    /// Fails if there is no such upstream. If all others have asked for a pause, the error holds
-    /// the time until the first pause ends.
+    /// Fails if there is no such upstream. If all others take calls later, the error holds the
+    /// time until the first of them does.
     pub fn pick(
         &mut self,
         now: Instant,
@@ -161,16 +212,20 @@
                 + domain_cost
                 + FAILURE_RATE_COST * member.decayed_failure_rate(now)
         };
+        let place = self.place;
+        let is_later = |at: Option<Instant>| at.is_some_and(|at| at > now);
         let candidates = self.members.iter_mut();
         let candidates =
             candidates.filter(|(name, member)| !member.leaving && !excluded.contains(name));
         let (paused, ready): (Vec<_>, Vec<_>) =
-            candidates.partition(|(_, member)| member.paused_until.is_some_and(|at| at > now));
+            candidates.partition(|(name, member)| is_later(member.wanted_from(now, name, &place)));
         let cheapest = ready
             .into_iter()
             .min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
         let Some((name, member)) = cheapest else {
-            let first_end = paused.iter().filter_map(|(_, member)| member.paused_until);
+            let first_end = paused.iter();
+            let first_end =
+                first_end.filter_map(|(name, member)| member.wanted_from(now, name, &place));
             return Err(match first_end.min() {
                 Some(until) => PickError::AllPaused {
                     ends_in: until.saturating_duration_since(now),
@@ -179,6 +234,7 @@
             });
         };
         member.in_flight += 1;
+        member.last_chosen_at = Some(now);
         Ok((name.clone(), member))
     }
 
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of route lookup, the list of upstreams, pools and admission limits.
 
 mod quarantine;
+mod rate_limits;
 
 use crate::Config;
 use crate::Route;
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -74,7 +74,8 @@
     NoUpstream,
     /// The request queue is full.
     Overloaded,
-    /// All upstreams that could run the request have asked for a pause.
+    /// All upstreams that could run the request have asked for a pause or have reached their
+    /// rate limits.
     Paused,
     /// The node cannot confirm that its catalogue is still in force.
     Stale,
@@ -95,7 +96,7 @@
             Self::LoadFailed => "the adapter could not be loaded",
             Self::NoUpstream => "no upstream is up that can run the request",
             Self::Overloaded => "the queue is full",
-            Self::Paused => "all upstreams have asked for a pause",
+            Self::Paused => "all upstreams have asked for a pause or reached their rate limits",
             Self::Stale => "the node cannot confirm that its catalogue is in force",
             Self::KeyValueServiceUnreachable => "the key-value service is not reachable",
             Self::Withdrawn => "the adapter version is not in force",
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -347,6 +347,10 @@
     /// Number of entries connected to the sending agent; 0 from an entry.
     #[serde(default, rename = "x", skip_serializing_if = "is_default")]
     pub connected_entries: u32,
+    /// Position of the receiving entry among the entries connected to the sending agent, in the
+    /// order of their names and from 0; `None` from an entry.
+    #[serde(default, rename = "y", skip_serializing_if = "Option::is_none")]
+    pub entry_rank: Option<u32>,
     /// Entries connected to the sending agent; empty in most heartbeats.
     #[serde(default, rename = "p", skip_serializing_if = "Vec::is_empty")]
     pub peers: Vec<PeerState>,
