--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -4,6 +4,7 @@
 //! engine, or `plain_service` sends it to an upstream of a plain service;
 //! `stream` relays the events of a model's response.
 
+mod fingerprint;
 mod guard;
 mod model;
 mod plain_service;
@@ -279,7 +280,7 @@
         let elapsed = elapsed.as_millis() as u64;
         info!(self.log, "request"; "id" => %call.id, "route" => route, "outcome" => outcome,
             "detail" => detail, "upstream" => upstream, "sent" => completion.sent,
-            "took_ms" => elapsed);
+            "took_ms" => elapsed, "fingerprint" => format!("{:016x}", call.fingerprint()));
         completion.response
     }
 
--- a/crates/dogwoodshunt_serving/src/lib.rs
+++ b/crates/dogwoodshunt_serving/src/lib.rs
@@ -23,6 +23,9 @@
 #[cfg(test)]
 mod tests;
 
+/// Identifies requests that are the same but for their ids.
+pub type RequestFingerprint = u64;
+
 pub use crate::config::Config;
 pub use crate::config::Route;
 pub use crate::pool::UpstreamPool;
