Refuse requests that crash each upstream that runs them

Cause: nothing outlived a request id. An entry kept no record of which request a server had when its connections broke, plain services have no agent that could, and idempotent requests were sent to a second server at once.

Change: a response that is lost with its connection is recorded by the fingerprint of the request and the process of the upstream. Entries tell three agents, which tell all entries, also those that connect later. A request that three processes have lost and none has answered since is refused for 600 s as not run; after the second loss entries do not send it again by themselves. It holds for engines and plain upstreams alike.

--- a/crates/dogwoodshunt_engine_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/links.rs
@@ -39,6 +39,8 @@
     last_report: Option<Arc<Report>>,
     /// Number of the last record of a crash that was sent.
     sent_crash_number: u64,
+    /// Number of the last observation of a request that was sent.
+    sent_request_number: u64,
     sent_heartbeat_number: u64,
     received_heartbeat_number: u64,
 }
@@ -58,6 +60,7 @@
             last_report_sent_at: now,
             last_report: None,
             sent_crash_number: 0,
+            sent_request_number: 0,
             sent_heartbeat_number: 0,
             received_heartbeat_number: 0,
         });
@@ -131,6 +134,7 @@
                 if let Some(seen) = heartbeat.rate_limit {
                     self.on_observed_limit(now, seen);
                 }
+                self.on_request_observations(now, heartbeat.requests);
             }
             Frame::Cancel { request } => self.on_cancel(now, request),
             Frame::Done {
@@ -245,6 +249,8 @@
         link.last_report_sent_at = now;
         let (crashes, crash_number) = self.crash_log.records_after(now, link.sent_crash_number);
         link.sent_crash_number = crash_number;
+        let (requests, request_number) = self.request_log.after(now, link.sent_request_number);
+        link.sent_request_number = request_number;
         let update = report.update_since(link.last_report.as_deref());
         link.last_report = Some(report.clone());
         let heartbeat = Heartbeat {
@@ -254,6 +260,7 @@
             leaving,
             epoch,
             crashes,
+            requests,
             connected_entries,
             entry_rank: Some(link.rank),
             report: Some(update),
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -2,18 +2,21 @@
 //!
 //! All input arrives as an [`Event`]. Module `links` handles the connections of
 //! entries, `runs` the runs that entries request, `engine` the reports of the
-//! engine and the orders to the engine, `rate_limit` the limit that the engine names, and
-//! `crashes` the records of its crashes.
+//! engine and the orders to the engine, `rate_limit` the limit that the engine names,
+//! `crashes` the records of its crashes, and `lost_requests` passes on which responses entries
+//! have lost.
 
 mod crashes;
 mod engine;
 mod links;
+mod lost_requests;
 mod rate_limit;
 mod runs;
 
 use crate::control::crashes::CrashLog;
 use crate::control::engine::EngineState;
 use crate::control::links::LinkState;
+use crate::control::lost_requests::RequestLog;
 use crate::control::runs::RunState;
 use crate::engine::EngineReport;
 use crate::engine::Order;
@@ -138,6 +141,7 @@
     scheduler: Scheduler,
     engine: EngineState,
     crash_log: CrashLog,
+    request_log: RequestLog,
     links: SlotMap<LinkKey, LinkState>,
     runs: HashMap<RequestId, RunState>,
     request_by_job: HashMap<JobKey, RequestId>,
@@ -161,6 +165,7 @@
             scheduler: Scheduler::new(settings.scheduler_settings()),
             engine: EngineState::new(now),
             crash_log: CrashLog::default(),
+            request_log: RequestLog::default(),
             links: SlotMap::with_key(),
             runs: HashMap::new(),
             request_by_job: HashMap::new(),
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -2,6 +2,7 @@
 //! a network.
 
 mod crashes;
+mod lost_requests;
 mod rate_limit;
 
 use crate::EngineAgentSettings;
--- a/crates/dogwoodshunt_gateway/src/call/fingerprint.rs
+++ b/crates/dogwoodshunt_gateway/src/call/fingerprint.rs
@@ -1,7 +1,7 @@
 //! Fingerprints by which repeats of a request are recognized under whatever ids.
 
 use crate::call::Call;
-use dogwoodshunt_serving::RequestFingerprint;
+use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::rendezvous;
 use hyper::header;
 
--- a/crates/dogwoodshunt_gateway/src/call/guard.rs
+++ b/crates/dogwoodshunt_gateway/src/call/guard.rs
@@ -6,7 +6,9 @@
 use crate::control::RunEnd;
 use async_channel::Sender;
 use dogwoodshunt_serving::pool::CallEnd;
+use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 
 /// Reports the end of a placement, or of the run granted for it, when dropped.
@@ -55,6 +57,8 @@
 pub(super) struct CallGuard {
     pub(super) service: ServiceName,
     pub(super) upstream: UpstreamName,
+    pub(super) started: UnixMillis,
+    pub(super) fingerprint: RequestFingerprint,
     pub(super) end: CallEnd,
     pub(super) events: Sender<ControlEvent>,
 }
@@ -64,6 +68,8 @@
         let ended = ControlEvent::CallEnded {
             service: self.service.clone(),
             upstream: self.upstream.clone(),
+            started: self.started,
+            fingerprint: self.fingerprint,
             end: self.end,
         };
         let _ = self.events.try_send(ended);
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -35,6 +35,7 @@
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::ServiceName;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -165,6 +166,8 @@
 /// A request together with its route and service.
 struct RoutedCall {
     call: Call,
+    /// Fingerprint of the request.
+    fingerprint: RequestFingerprint,
     route: Arc<Route>,
     service: ServiceName,
     /// When the response must be complete: the earlier of the caller's and the
@@ -235,6 +238,7 @@
         let has_engines = service_config.is_some_and(|service| service.engine.is_some());
         let routed = Arc::new(RoutedCall {
             deadline: call.arrived + timeout,
+            fingerprint: call.fingerprint(),
             call,
             route: route.clone(),
             service,
@@ -297,7 +301,7 @@
     /// Returns whether a request that has not run may be sent again, and takes
     /// one retry from the budget if so.
     async fn may_resend(&self, routed: &RoutedCall, history: &SendHistory) -> bool {
-        history.sent < routed.route.max_attempts && self.take_retry(&routed.service).await
+        history.sent < routed.route.max_attempts && self.take_retry(routed).await
     }
 
     /// Passes what an upstream has announced to the control thread, before the caller
@@ -338,11 +342,12 @@
         self.metrics.sends.get_or_create(&labels).inc();
     }
 
-    /// Takes one retry from the budget of `service`, which the control thread
-    /// keeps; returns whether the budget allowed it.
-    async fn take_retry(&self, service: &ServiceName) -> bool {
+    /// Takes one retry from the budget of the service, which the control thread
+    /// keeps. Returns whether the budget allowed it and the request is not suspected of
+    /// crashing upstreams.
+    async fn take_retry(&self, routed: &RoutedCall) -> bool {
         let (reply_tx, decision_rx) = async_channel::bounded(1);
-        let service = service.clone();
+        let (service, fingerprint) = (routed.service.clone(), routed.fingerprint);
         let labels = |outcome| ServiceOutcomeLabels {
             service: service.to_string(),
             outcome,
@@ -351,7 +356,11 @@
         // The control thread's channel is closed only while the process exits.
         let _ = self
             .events
-            .send(ControlEvent::TakeRetry { service, reply_tx })
+            .send(ControlEvent::TakeRetry {
+                service,
+                fingerprint,
+                reply_tx,
+            })
             .await;
         let is_allowed = decision_rx.recv().await.unwrap_or(false);
         let labels = if is_allowed { allowed } else { refused };
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -167,6 +167,8 @@
                 }
                 Err(failure) => failure,
             };
+            // Ends the run before the request is sent again.
+            drop(guard);
             if let Some(response) = self.on_send_failure(routed, history, &grant, failure).await {
                 let upstream = Some(grant.upstream);
                 return Err(ModelFailure { response, upstream });
@@ -194,8 +196,8 @@
             }
             SendFailure::Refused => {
                 history.sent += 1;
-                let should_retry = history.sent < routed.route.max_attempts
-                    && self.take_retry(&routed.service).await;
+                let should_retry =
+                    history.sent < routed.route.max_attempts && self.take_retry(routed).await;
                 (!should_retry).then(|| history.refuse(not_run, Duration::ZERO))
             }
             SendFailure::MayHaveRun(reason) => {
@@ -240,6 +242,7 @@
         demand.rank = routed.route.rank;
         let req = PlacementRequest {
             id: routed.call.id.clone(),
+            fingerprint: routed.fingerprint,
             service: routed.service.clone(),
             base_model: model.base_model.clone(),
             adapter: model.adapter.clone(),
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -46,8 +46,10 @@
     Unreached(Box<str>),
     /// The upstream has refused the request without running it.
     Refused,
-    /// The request may have run; the response was lost.
-    MayHaveRun(Box<str>),
+    /// The request may have run; the response was lost with its connection.
+    BrokenOff(Box<str>),
+    /// The request may have run; the response is not one to this request.
+    Foreign(Box<str>),
     /// The response was not complete by the deadline of the send.
     TimedOut,
     /// The upstream has responded; the response body has been read to its end.
@@ -60,7 +62,7 @@
         match self {
             Self::Unreached(_) => "unreached",
             Self::Refused => "not-run-full",
-            Self::MayHaveRun(_) => "lost",
+            Self::BrokenOff(_) | Self::Foreign(_) => "lost",
             Self::TimedOut => "late",
             Self::Answered(..) => "runs",
         }
@@ -99,7 +101,7 @@
                     history.sent += 1;
                     self.may_resend(routed, &history).await
                 }
-                SendOutcome::MayHaveRun(reason) => {
+                SendOutcome::BrokenOff(reason) | SendOutcome::Foreign(reason) => {
                     history.sent += 1;
                     last_failure = Some(CallResponse::Lost(reason));
                     self.may_repeat_run(routed, &history).await
@@ -151,6 +153,7 @@
         let (reply_tx, selection_rx) = async_channel::bounded(1);
         let event = ControlEvent::SelectUpstream {
             service: routed.service.clone(),
+            fingerprint: routed.fingerprint,
             excluded: excluded.to_vec(),
             reply_tx,
         };
@@ -180,6 +183,8 @@
         let mut guard = CallGuard {
             service: routed.service.clone(),
             upstream: selected.upstream,
+            started: selected.started,
+            fingerprint: routed.fingerprint,
             end: CallEnd::Neutral,
             events: self.events.clone(),
         };
@@ -205,7 +210,8 @@
                     "upstream" => %guard.upstream, "error" => %reason);
                 CallEnd::Failed
             }
-            SendOutcome::Refused | SendOutcome::MayHaveRun(_) | SendOutcome::TimedOut => {
+            SendOutcome::BrokenOff(_) => CallEnd::Lost,
+            SendOutcome::Refused | SendOutcome::Foreign(_) | SendOutcome::TimedOut => {
                 CallEnd::Failed
             }
             SendOutcome::Answered(exchange, _) if exchange.status.is_server_error() => {
@@ -220,25 +226,25 @@
         let upstream_response = match self.upstream_client.send(&routed.call, dispatch).await {
             Ok(upstream_response) => upstream_response,
             Err(SendError::NotSent { message, .. }) => return SendOutcome::Unreached(message),
-            Err(SendError::Lost { message, .. }) => return SendOutcome::MayHaveRun(message),
+            Err(SendError::Lost { message, .. }) => return SendOutcome::BrokenOff(message),
         };
         self.report_announcement(&routed.service, dispatch, &upstream_response);
         let mut exchange = upstream_response.exchange;
         match upstream_response.execution_status {
             ExecutionStatus::RefusedFull | ExecutionStatus::Misdirected => SendOutcome::Refused,
             ExecutionStatus::UnverifiedResponse => {
-                SendOutcome::MayHaveRun("the answer belongs to another request".into())
+                SendOutcome::Foreign("the answer belongs to another request".into())
             }
             ExecutionStatus::Executed => {
                 let body_bytes = match exchange.read_to_end(MAX_BUFFERED_BODY_BYTES).await {
                     Ok(body_bytes) => body_bytes,
-                    Err(error) => return SendOutcome::MayHaveRun(error.to_string().into()),
+                    Err(error) => return SendOutcome::BrokenOff(error.to_string().into()),
                 };
                 let mut end_check = routed.end_check(&exchange);
                 end_check.advance(&body_bytes);
                 match end_check.check_end() {
                     Ok(()) => SendOutcome::Answered(Box::new(exchange), body_bytes),
-                    Err(cut) => SendOutcome::MayHaveRun(cut.to_string().into()),
+                    Err(cut) => SendOutcome::BrokenOff(cut.to_string().into()),
                 }
             }
         }
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -199,6 +199,11 @@
     fn on_end(&mut self) -> Option<Bytes> {
         self.is_finished = true;
         self.relay.stats.outcome = COMPLETE;
+        if let Some(guard) = &mut self.relay.guard
+            && self.relay.exchange.status.is_success()
+        {
+            guard.end = RunEnd::Answered;
+        }
         let rest = self.splitter.as_mut().map(EventSplitter::take_partial);
         rest.filter(|rest| !rest.is_empty())
     }
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -12,6 +12,7 @@
 use dogwoodshunt_wire::frame::Heartbeat;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::frame::ObservedRateLimit;
+use dogwoodshunt_wire::frame::RequestObservation;
 use dogwoodshunt_wire::frame::UpstreamConfig;
 use dogwoodshunt_wire::frame::UpstreamIdentity;
 use slog::info;
@@ -63,6 +64,10 @@
 }
 
 impl AgentState {
+    pub(super) fn last_frame_at(&self) -> Instant {
+        self.last_frame_at
+    }
+
     pub(super) fn is_connected(&self) -> bool {
         self.tx.is_some()
     }
@@ -169,8 +174,10 @@
         self.router.set_node(agent, identity.node);
         self.router.set_domain(agent, identity.domain);
         self.send_upstream_config(agent);
-        // An agent that has restarted learns the rate limit before it grants a run.
-        self.send_heartbeat(now, agent);
+        // An agent that has restarted learns the rate limit before it grants a run, and what it
+        // has to tell entries that start later.
+        let requests = self.request_quarantine.observations(now);
+        self.send_heartbeat(now, agent, requests);
         self.resend_granted_runs(now, agent);
     }
 
@@ -270,6 +277,7 @@
             .on_report(now, heartbeat.connected_entries, heartbeat.entry_rank);
         self.retry_budgets.set_entry_count(self.entries.count());
         self.on_engine_crashes(now, agent, &heartbeat.crashes);
+        self.on_request_observations(now, &heartbeat.requests);
         if let Some(mut update) = heartbeat.report {
             if let (true, ReportUpdate::Full(report)) = (heartbeat.leaving, &mut update) {
                 // The agent admits no more requests, but its engine continues to
@@ -317,7 +325,7 @@
             due.push(*agent);
         }
         for agent in due {
-            self.send_heartbeat(now, agent);
+            self.send_heartbeat(now, agent, Vec::new());
         }
         for agent in timed_out {
             warn!(self.context.log, "agent silent"; "agent" => self.agent_address(agent));
@@ -325,8 +333,14 @@
         }
     }
 
-    /// Sends an agent a heartbeat, with what is known of the rate limit of its engine.
-    pub(super) fn send_heartbeat(&mut self, now: Instant, agent: AgentKey) {
+    /// Sends an agent a heartbeat, with what is known of the rate limit of its engine and the
+    /// given observations of requests.
+    pub(super) fn send_heartbeat(
+        &mut self,
+        now: Instant,
+        agent: AgentKey,
+        requests: Vec<RequestObservation>,
+    ) {
         let engine = self.engine_identity(agent);
         let rate_limit = engine.and_then(|engine| {
             let seen = self.rate_limits.get(&engine.name, engine.started)?;
@@ -346,6 +360,7 @@
             fresh: true,
             leaving: self.shutting_down,
             rate_limit,
+            requests,
             ..Heartbeat::default()
         };
         // A failed send is ignored: the connector reports the closed connection.
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -1,7 +1,8 @@
 //! Control state of an entry, owned by one thread.
 //!
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
-//! engines, `quarantine` refuses prompts that crash engines, `store` applies the records of the
+//! engines, `quarantine` refuses prompts that crash engines, `lost_requests` requests that crash upstreams,
+//! `store` applies the records of the
 //! platform's store, `placement` places model requests on engines, `announcements` and
 //! `rate_limits` apply what upstreams announce in their responses, `entries` keeps the number of
 //! entries, and `plain_service` selects upstreams of plain services, which have no engines.
@@ -9,6 +10,7 @@
 mod agents;
 mod announcements;
 mod entries;
+mod lost_requests;
 mod placement;
 mod plain_service;
 mod quarantine;
@@ -46,6 +48,7 @@
 use dogwoodshunt_runtime::telemetry::ViolationMonitor;
 use dogwoodshunt_runtime::traffic::TrafficExecutor;
 use dogwoodshunt_serving::PromptQuarantine;
+use dogwoodshunt_serving::RequestQuarantine;
 use dogwoodshunt_serving::UpstreamPool;
 use dogwoodshunt_serving::UpstreamRegistry;
 use dogwoodshunt_serving::pool::CallEnd;
@@ -53,6 +56,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NotRun;
+use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::StoreEra;
 use dogwoodshunt_types::UnixMillis;
@@ -97,6 +101,10 @@
         service: ServiceName,
         /// Upstream that was called.
         upstream: UpstreamName,
+        /// Start time of the upstream process.
+        started: UnixMillis,
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
         /// How the call ended.
         end: CallEnd,
     },
@@ -138,6 +146,8 @@
     SelectUpstream {
         /// Name of the service.
         service: ServiceName,
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
         /// Upstreams to which the call has already been sent.
         excluded: Vec<UpstreamName>,
         /// Receives the selected upstream, or the refusal if no other is available.
@@ -157,6 +167,8 @@
     TakeRetry {
         /// Service to which the request would be sent again.
         service: ServiceName,
+        /// Fingerprint of the request.
+        fingerprint: RequestFingerprint,
         /// Receives whether the retry is allowed.
         reply_tx: Sender<bool>,
     },
@@ -236,6 +248,8 @@
     rate_limits: RateLimits,
     /// Prompt parts that have crashed the engines of each service.
     quarantines: HashMap<ServiceName, PromptQuarantine>,
+    /// Requests whose responses were lost.
+    request_quarantine: RequestQuarantine,
     declared_versions: HashMap<AdapterName, AdapterRef>,
     /// Highest era of the store that a listing has shown.
     store_era: StoreEra,
@@ -274,6 +288,7 @@
             pauses: Pauses::default(),
             rate_limits: RateLimits::default(),
             quarantines: HashMap::new(),
+            request_quarantine: RequestQuarantine::default(),
             declared_versions: HashMap::new(),
             store_era: 0,
             config_era: 0,
@@ -319,8 +334,17 @@
             ControlEvent::CallEnded {
                 service,
                 upstream,
+                started,
+                fingerprint,
                 end,
-            } => self.on_call_ended(now, &service, &upstream, end),
+            } => {
+                self.on_call_ended(now, &service, &upstream, end);
+                match end {
+                    CallEnd::Answered => self.on_request_answered(now, fingerprint),
+                    CallEnd::Lost => self.on_request_lost(now, fingerprint, &upstream, started),
+                    CallEnd::Failed | CallEnd::Neutral => {}
+                }
+            }
             ControlEvent::StoreChanged { topic, changes } => {
                 self.on_store_changed(now, topic, changes)
             }
@@ -334,19 +358,29 @@
             }
             ControlEvent::SelectUpstream {
                 service,
+                fingerprint,
                 excluded,
                 reply_tx,
             } => {
+                let refusal = self.lost_request_refusal(now, fingerprint);
+                let selected =
+                    refusal.map_or_else(|| self.select_upstream(now, service, &excluded), Err);
                 // The receiver is dropped if the caller has disconnected.
-                let _ = reply_tx.try_send(self.select_upstream(now, service, &excluded));
+                let _ = reply_tx.try_send(selected);
             }
             ControlEvent::Place {
                 placement_id,
                 req,
                 reply_tx,
             } => self.on_place(now, placement_id, *req, reply_tx),
-            ControlEvent::TakeRetry { service, reply_tx } => {
-                let _ = reply_tx.try_send(self.retry_budgets.try_take(&service));
+            ControlEvent::TakeRetry {
+                service,
+                fingerprint,
+                reply_tx,
+            } => {
+                let may_retry = self.request_quarantine.may_repeat(fingerprint)
+                    && self.retry_budgets.try_take(&service);
+                let _ = reply_tx.try_send(may_retry);
             }
             ControlEvent::SettingsChanged {
                 retry_ratio,
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -18,12 +18,14 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Admit;
+use dogwoodshunt_wire::frame::UpstreamProcess;
 use slog::info;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -48,6 +50,8 @@
 pub struct PlacementRequest {
     /// Id that the caller gave the request.
     pub id: Box<str>,
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
     /// Service whose engines run the request.
     pub service: ServiceName,
     /// Requested base model.
@@ -84,6 +88,8 @@
 pub enum RunEnd {
     /// The upstream has reported that it lacks the adapter.
     AdapterMissing,
+    /// The upstream has answered with success, to the end of the response.
+    Answered,
     /// The connection to the upstream was lost before the response was complete.
     BrokenOff,
     /// The run is over in any other way.
@@ -121,6 +127,9 @@
 /// unattended engine.
 pub(super) struct GrantedRun {
     agent: AgentKey,
+    /// Process that runs the request.
+    upstream: UpstreamProcess,
+    fingerprint: RequestFingerprint,
     service: ServiceName,
     target: Target,
     request: RequestId,
@@ -262,6 +271,11 @@
         let placement = pending.placement;
         let run = GrantedRun {
             agent: pending.agent,
+            upstream: UpstreamProcess {
+                name: grant.upstream.clone(),
+                started: grant.started,
+            },
+            fingerprint: placement.req.fingerprint,
             service: placement.req.service,
             target: placement.target,
             request: grant.request,
@@ -479,6 +493,14 @@
     ) {
         if let Some(run) = self.granted_runs.remove(&placement_id) {
             self.router.on_attempt_end(run.agent, &run.target);
+            match end {
+                RunEnd::Answered => self.on_request_answered(now, run.fingerprint),
+                RunEnd::BrokenOff => {
+                    let UpstreamProcess { name, started } = &run.upstream;
+                    self.on_request_lost(now, run.fingerprint, name, *started);
+                }
+                RunEnd::AdapterMissing | RunEnd::Finished => {}
+            }
             let missing = run
                 .target
                 .adapter()
--- a/crates/dogwoodshunt_gateway/src/control/quarantine.rs
+++ b/crates/dogwoodshunt_gateway/src/control/quarantine.rs
@@ -44,12 +44,16 @@
         }
     }
 
-    /// Returns the refusal of a request whose prompt has a quarantined part.
+    /// Returns the refusal of a request that is quarantined, or whose prompt has a quarantined
+    /// part.
     pub(super) fn quarantine_refusal(
         &self,
         now: Instant,
         req: &PlacementRequest,
     ) -> Option<NotRun> {
+        if let Some(refusal) = self.lost_request_refusal(now, req.fingerprint) {
+            return Some(refusal);
+        }
         let quarantine = self.quarantines.get(&req.service)?;
         let until = quarantine.until(now, req.demand.shared_parts())?;
         let retry_after = until.saturating_duration_since(now);
@@ -59,6 +63,7 @@
     pub(super) fn expire_quarantines(&mut self, now: Instant) {
         let quarantines = self.quarantines.values_mut();
         quarantines.for_each(|quarantine| quarantine.expire(now));
+        self.request_quarantine.expire(now);
         self.count_quarantined_parts();
     }
 
--- a/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
+++ b/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
@@ -95,7 +95,7 @@
         }
         if let Some(agent) = self.agent_of_engine(upstream, started) {
             self.router.set_rate_limited(agent, limit.is_some());
-            self.send_heartbeat(now, agent);
+            self.send_heartbeat(now, agent, Vec::new());
         }
     }
 }
--- a/crates/dogwoodshunt_gateway/src/metrics.rs
+++ b/crates/dogwoodshunt_gateway/src/metrics.rs
@@ -82,6 +82,8 @@
     pub config_revision: Gauge,
     /// Number of prompt parts that are refused since they crash engines.
     pub quarantined_parts: Gauge,
+    /// Number of requests that are refused since they crash upstreams.
+    pub quarantined_requests: Gauge,
     /// Number of connected agents.
     pub connected_agents: Gauge,
 }
@@ -102,6 +104,7 @@
             store_requests: Family::default(),
             config_revision: Gauge::default(),
             quarantined_parts: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             connected_agents: Gauge::default(),
         };
         let requests = registered.requests.clone();
@@ -150,6 +153,9 @@
         let parts = registered.quarantined_parts.clone();
         let help = "Prompt parts that are refused since they crash engines";
         registry.register("quarantined_prompt_parts", help, parts);
+        let requests = registered.quarantined_requests.clone();
+        let help = "Requests that are refused since they crash upstreams";
+        registry.register("quarantined_requests", help, requests);
         registered
     }
 }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the control state, without network connections.
 
 mod announcements;
+mod lost_requests;
 mod overview;
 mod quarantine;
 mod rate_limits;
@@ -240,6 +241,7 @@
         let (reply_tx, grant_rx) = async_channel::bounded(1);
         let req = PlacementRequest {
             id: format!("q{}", self.last_placement_id).into(),
+            fingerprint: self.last_placement_id,
             service: "models".into(),
             base_model: "base".into(),
             adapter: Some(adapter.into()),
@@ -296,6 +298,7 @@
         let (reply_tx, selection_rx) = async_channel::bounded(1);
         self.handle(ControlEvent::SelectUpstream {
             service: "records".into(),
+            fingerprint: 0,
             excluded: Vec::new(),
             reply_tx,
         });
@@ -305,7 +308,11 @@
     fn may_retry(&mut self) -> bool {
         let (reply_tx, decision_rx) = async_channel::bounded(1);
         let service = "records".into();
-        self.handle(ControlEvent::TakeRetry { service, reply_tx });
+        self.handle(ControlEvent::TakeRetry {
+            service,
+            fingerprint: 0,
+            reply_tx,
+        });
         decision_rx.try_recv().unwrap()
     }
 }
--- a/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
@@ -20,6 +20,7 @@
         let (reply_tx, grant_rx) = async_channel::bounded(1);
         let parts = parts.iter().map(|id| PromptPart { id: *id, tokens: 1 });
         let req = PlacementRequest {
+            fingerprint: 0,
             id: "prompt".into(),
             service: "models".into(),
             base_model: "base".into(),
--- a/crates/dogwoodshunt_serving/src/lib.rs
+++ b/crates/dogwoodshunt_serving/src/lib.rs
@@ -10,8 +10,8 @@
 //! upstreams of other services are model engines, which need the base model and the
 //! adapter of a request.
 //!
-//! Read [`config`] first, then [`registry`], [`pool`] with [`rate_share`], [`admission`] and
-//! [`quarantine`].
+//! Read [`config`] first, then [`registry`], [`pool`] with [`rate_share`], [`admission`],
+//! [`quarantine`] and [`request_quarantine`].
 
 pub mod admission;
 pub mod config;
@@ -19,15 +19,14 @@
 pub mod quarantine;
 pub mod rate_share;
 pub mod registry;
+pub mod request_quarantine;
 
 #[cfg(test)]
 mod tests;
 
-/// Identifies requests that are the same but for their ids.
-pub type RequestFingerprint = u64;
-
 pub use crate::config::Config;
 pub use crate::config::Route;
 pub use crate::pool::UpstreamPool;
 pub use crate::quarantine::PromptQuarantine;
 pub use crate::registry::UpstreamRegistry;
+pub use crate::request_quarantine::RequestQuarantine;
--- a/crates/dogwoodshunt_serving/src/pool.rs
+++ b/crates/dogwoodshunt_serving/src/pool.rs
@@ -48,7 +48,7 @@
     in_flight: u32,
     /// Failure rate at `last_outcome_at`, from 0 to 1.
     failure_rate: f64,
-    /// When the last call ended that was [`CallEnd::Answered`] or [`CallEnd::Failed`].
+    /// When the last call ended whose [`CallEnd`] was not [`CallEnd::Neutral`].
     last_outcome_at: Option<Instant>,
 }
 
@@ -89,8 +89,10 @@
 pub enum CallEnd {
     /// The upstream answered the call.
     Answered,
-    /// The call failed, or its response was lost or too late.
+    /// The call failed, or its response was too late.
     Failed,
+    /// The response was lost with its connection.
+    Lost,
     /// The caller disconnected or the call was not sent, which says nothing about
     /// the upstream.
     Neutral,
@@ -246,7 +248,7 @@
         member.in_flight = member.in_flight.saturating_sub(1);
         let observed_rate = match end {
             CallEnd::Answered => 0.0,
-            CallEnd::Failed => 1.0,
+            CallEnd::Failed | CallEnd::Lost => 1.0,
             CallEnd::Neutral => return,
         };
         let previous_rate = member.decayed_failure_rate(now);
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod quarantine;
 mod rate_limits;
+mod request_quarantine;
 
 use crate::Config;
 use crate::Route;
--- a/crates/dogwoodshunt_types/src/id.rs
+++ b/crates/dogwoodshunt_types/src/id.rs
@@ -39,6 +39,9 @@
 /// stay in era 0.
 pub type StoreEra = u32;
 
+/// Identifies requests that are the same but for their ids.
+pub type RequestFingerprint = u64;
+
 /// Wall-clock time in milliseconds since the Unix epoch.
 pub type UnixMillis = u64;
 
--- a/crates/dogwoodshunt_types/src/lib.rs
+++ b/crates/dogwoodshunt_types/src/lib.rs
@@ -23,6 +23,7 @@
 pub use crate::id::Epoch;
 pub use crate::id::FailureDomain;
 pub use crate::id::NodeId;
+pub use crate::id::RequestFingerprint;
 pub use crate::id::RequestId;
 pub use crate::id::Revision;
 pub use crate::id::ServiceName;
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -61,7 +61,7 @@
 pub enum NotRunReason {
     /// The caller cancelled the request before it ran.
     Cancelled,
-    /// A part of the prompt has crashed engines.
+    /// The request, or a part of its prompt, has crashed upstreams.
     CrashesEngines,
     /// The deadline of the request has passed, or would pass before the request could run.
     Deadline,
@@ -90,7 +90,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Cancelled => "the caller cancelled the request",
-            Self::CrashesEngines => "a part of the prompt has crashed engines",
+            Self::CrashesEngines => "the request or a part of its prompt has crashed upstreams",
             Self::Deadline => "the request cannot run before its deadline",
             Self::Leaving => "the upstream is leaving",
             Self::LoadFailed => "the adapter could not be loaded",
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -17,6 +17,7 @@
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::Priority;
 use dogwoodshunt_types::RateLimit;
+use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::RequestOutcome;
 use dogwoodshunt_types::Revision;
@@ -340,6 +341,10 @@
     /// Crashes of the engine of the sending agent; each is sent once on a connection.
     #[serde(default, rename = "k", skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<EngineCrash>,
+    /// Requests whose responses the sender, or an entry connected to it, has seen lost or
+    /// answered; each is sent once on a connection.
+    #[serde(default, rename = "o", skip_serializing_if = "Vec::is_empty")]
+    pub requests: Vec<RequestObservation>,
     /// What the responses of the engine of the receiving agent have last shown the sending entry
     /// about its rate limit.
     #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
@@ -387,6 +392,32 @@
     pub age: Duration,
 }
 
+/// Process of an upstream.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct UpstreamProcess {
+    /// Name of the upstream.
+    #[serde(rename = "u")]
+    pub name: UpstreamName,
+    /// Start time of the process.
+    #[serde(rename = "b")]
+    pub started: UnixMillis,
+}
+
+/// End of one send of a request, as an entry has seen it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestObservation {
+    /// Fingerprint of the request.
+    #[serde(rename = "f")]
+    pub fingerprint: RequestFingerprint,
+    /// Process at which the response was lost with its connection; `None` if the request was
+    /// answered with success.
+    #[serde(default, rename = "p", skip_serializing_if = "Option::is_none")]
+    pub lost_at: Option<UpstreamProcess>,
+    /// Time from the end of the send to the heartbeat.
+    #[serde(rename = "a")]
+    pub age: Duration,
+}
+
 /// State of an entry that is connected to an agent, as known to the agent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerState {
