Keep to the rate limits that upstreams of our own interface name

Change: an upstream names its limit in x-dogwoodshunt-rate-limit, requests a second, in its responses; a response without it to a request sent under the limit ends it.

An agent that restarts learns the limit with the first response, so a batch of requests may pass before.

--- a/crates/dogwoodshunt_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_agent/src/control/mod.rs
@@ -33,6 +33,7 @@
 use dogwoodshunt_runtime::traffic::TrafficExecutor;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Epoch;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Identity;
@@ -100,6 +101,13 @@
         /// State that the upstream reported.
         response: ProbeResponse,
     },
+    /// A response has named a rate limit, or none although the request was sent under one.
+    RateLimitNamed {
+        /// Upstream that responded.
+        upstream: UpstreamKey,
+        /// Named limit.
+        limit: Option<RateLimit>,
+    },
     /// A run has ended.
     RunEnded {
         /// Job that ran.
@@ -264,6 +272,7 @@
             ControlEvent::Probed { upstream, response } => {
                 self.scheduler.on_probe(now, upstream, &response);
             }
+            ControlEvent::RateLimitNamed { upstream, limit } => self.on_rate_limit(upstream, limit),
             ControlEvent::RunEnded {
                 job,
                 upstream,
--- a/crates/dogwoodshunt_agent/src/control/requests.rs
+++ b/crates/dogwoodshunt_agent/src/control/requests.rs
@@ -182,6 +182,7 @@
         let (Some(state), Some(handle)) = (state, self.upstream_handles.get(&upstream)) else {
             return;
         };
+        let known = self.scheduler.upstream(upstream);
         let (cancel_tx, cancel_rx) = async_channel::bounded(1);
         state.cancel_tx = Some(cancel_tx);
         let run = Run {
@@ -190,6 +191,9 @@
             submit: state.submit.clone(),
             response_buffer: state.response_buffer.clone(),
             cancel_rx,
+            upstream,
+            rate_limited: known.is_some_and(|known| known.rate_limit.is_some()),
+            events_tx: self.context.events_tx.clone(),
         };
         let events_tx = self.context.events_tx.clone();
         let run_task = async move {
--- a/crates/dogwoodshunt_agent/src/control/upstreams.rs
+++ b/crates/dogwoodshunt_agent/src/control/upstreams.rs
@@ -9,6 +9,7 @@
 use dogwoodshunt_residency::orders::OrderOutcome;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Epoch;
+use dogwoodshunt_types::RateLimit;
 use slog::info;
 use slog::o;
 use std::time::Duration;
@@ -95,6 +96,18 @@
         self.send_command(upstream, order);
     }
 
+    pub(super) fn on_rate_limit(&mut self, upstream: UpstreamKey, limit: Option<RateLimit>) {
+        let Some(known) = self.scheduler.upstream(upstream) else {
+            return;
+        };
+        if known.rate_limit != limit {
+            let text = limit.map_or_else(|| "none".to_owned(), |limit| limit.to_string());
+            info!(self.context.log, "upstream limits requests"; "upstream" => %known.name,
+                "limit" => text);
+            self.scheduler.set_rate_limit(upstream, limit);
+        }
+    }
+
     pub(super) fn on_ownership_confirmed(&mut self, epoch: Epoch) {
         if self.epoch != epoch {
             info!(self.context.log, "owner"; "epoch" => epoch);
--- a/crates/dogwoodshunt_agent/src/run.rs
+++ b/crates/dogwoodshunt_agent/src/run.rs
@@ -1,10 +1,12 @@
 //! Runs one request on one upstream and relays the response.
 
+use crate::control::ControlEvent;
 use crate::response_buffer::RequestCancelled;
 use crate::response_buffer::ResponseBuffer;
 use crate::sse;
 use crate::sse::EventSplitter;
 use async_channel::Receiver;
+use async_channel::Sender;
 use bytes::Bytes;
 use dogwoodshunt_border::generated::openai::AnswerModel;
 use dogwoodshunt_border::http::Client;
@@ -12,13 +14,16 @@
 use dogwoodshunt_border::http::StreamEndCheck;
 use dogwoodshunt_border::http::body;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::UpstreamKey;
 use dogwoodshunt_residency::job::RunOutcome;
+use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::RequestOutcome;
 use dogwoodshunt_types::invariant::Invariant;
 use dogwoodshunt_wire::frame::ResponseHead;
 use dogwoodshunt_wire::frame::Submit;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -35,6 +40,10 @@
 /// Maximum size of a chunk of a response that is not streamed, in bytes.
 const CHUNK_BYTES: usize = 64 * 1024;
 
+/// Header in which upstreams name the requests a second, as a decimal number, that they take
+/// from all callers together.
+const RATE_LIMIT_HEADER: &str = "x-dogwoodshunt-rate-limit";
+
 /// Header that carries the request id to upstreams.
 const REQUEST_ID_HEADER: &str = "x-dogwoodshunt-request-id";
 
@@ -50,6 +59,12 @@
     pub response_buffer: Arc<ResponseBuffer>,
     /// Closes when the run is cancelled.
     pub cancel_rx: Receiver<()>,
+    /// Upstream that runs the request.
+    pub upstream: UpstreamKey,
+    /// Whether the upstream is known to limit the rate of requests.
+    pub rate_limited: bool,
+    /// Sends events to the control thread.
+    pub events_tx: Sender<ControlEvent>,
 }
 
 /// Result of a run.
@@ -116,6 +131,7 @@
                 return finished(false);
             }
         };
+        self.report_rate_limit(response.headers()).await;
         // An engine that does not know the adapter answers 404 without running the request.
         if response.status() == StatusCode::NOT_FOUND && self.submit.target.adapter().is_some() {
             return RunResult {
@@ -140,6 +156,19 @@
         }
     }
 
+    /// Reports the rate limit that a response names, or that it names none any more.
+    async fn report_rate_limit(&self, headers: &HeaderMap) {
+        let per_second = headers.get(RATE_LIMIT_HEADER);
+        let per_second = per_second.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let limit = per_second.and_then(RateLimit::per_second);
+        if limit.is_some() || self.rate_limited {
+            let upstream = self.upstream;
+            let event = ControlEvent::RateLimitNamed { upstream, limit };
+            // The channel closes only while the process exits.
+            let _ = self.events_tx.send(event).await;
+        }
+    }
+
     fn build_request(&self) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let submit = &self.submit;
         let mut req = Request::builder()
--- a/crates/dogwoodshunt_agent/src/tests.rs
+++ b/crates/dogwoodshunt_agent/src/tests.rs
@@ -1,17 +1,84 @@
 //! Tests of the response buffer and of the splitter of server-sent events.
 
+mod rate_limits;
 mod service_streams;
 
+use crate::control::ControlEvent;
 use crate::response_buffer::ResponseBuffer;
+use crate::run::Run;
 use crate::sse::EventSplitter;
 use async_channel::Receiver;
 use bytes::Bytes;
+use dogwoodshunt_border::http::Client;
+use dogwoodshunt_residency::Target;
+use dogwoodshunt_residency::UpstreamKey;
+use dogwoodshunt_types::Priority;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::MAX_UNACKNOWLEDGED_BYTES;
 use dogwoodshunt_wire::frame::ResponseHead;
+use dogwoodshunt_wire::frame::Submit;
+use smol::Executor;
 use smol::block_on;
 use smol::future;
+use smol::io::AsyncReadExt;
+use smol::io::AsyncWriteExt;
+use smol::net::TcpListener;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Runs a request on a service that responds with `response` and ends the connection, and is
+/// known to limit the rate of requests if `rate_limited`. Returns the frames for the entry and
+/// the events for the control thread.
+fn run_against(response: String, rate_limited: bool) -> (Vec<Frame>, Vec<ControlEvent>) {
+    let executor: Arc<Executor<'static>> = Arc::new(Executor::new());
+    let (tx, rx) = async_channel::unbounded();
+    let (events_tx, events_rx) = async_channel::unbounded();
+    let request = RequestId {
+        entry_boot: 1,
+        number: 1,
+    };
+    let run = async {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = listener.await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let serve = async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buf = [0; 4096];
+            stream.read(&mut buf).await.unwrap();
+            stream.write_all(response.as_bytes()).await.unwrap();
+            stream.close().await.unwrap();
+        };
+        executor.spawn(serve).detach();
+        let (_cancel_tx, cancel_rx) = async_channel::bounded(1);
+        let run = Run {
+            client: Arc::new(Client::new(executor.clone(), Duration::from_secs(5))),
+            address: address.into(),
+            submit: Arc::new(Submit {
+                request,
+                revision: 1,
+                target: Target::Service("feed".into()),
+                priority: Priority::Normal,
+                time_left: None,
+                method: "GET".into(),
+                path: "/feed".into(),
+                content_type: None,
+                body: Bytes::new(),
+            }),
+            response_buffer: Arc::new(ResponseBuffer::new(request, tx)),
+            cancel_rx,
+            upstream: UpstreamKey::default(),
+            rate_limited,
+            events_tx,
+        };
+        run.run().await;
+    };
+    block_on(executor.run(run));
+    let frames = std::iter::from_fn(|| rx.try_recv().ok()).collect();
+    let events = std::iter::from_fn(|| events_rx.try_recv().ok()).collect();
+    (frames, events)
+}
 
 fn response_buffer() -> (ResponseBuffer, Receiver<Frame>) {
     let (tx, rx) = async_channel::unbounded();
