Keep limits that entries tell before the first report of an engine process

Cause: an agent that has just started, or whose engine has, knows no start time of the process yet and dropped what entries told it of the limit, until their next heartbeat. Change: the observation waits for the report. limit_that_an_entry_tells_before_the_first_report_of_the_process_holds failed before (3 runs granted at once, 1 allowed).

--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -203,12 +203,13 @@
                 "before" => previous_started_at);
             self.on_crash(now);
             self.engine.identity = None;
-            self.engine.rate_limit = RateLimitState::default();
+            self.reset_limit();
         }
         self.on_report_limit(now, report.rate_limit);
         self.engine.last_report_at = now;
         self.engine.accepted_orders = report.accepted_orders;
         self.engine.report = Some(report);
+        self.apply_early_limit();
         if let Some(identity) = self.engine.next_identity.take() {
             self.on_identity(identity);
         }
--- a/crates/dogwoodshunt_engine_agent/src/control/rate_limit.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/rate_limit.rs
@@ -18,6 +18,9 @@
     /// Whether the last report named a limit. An engine may name its limit in the responses to
     /// requests only, so reports without one end a limit only after one that named it.
     named_in_report: bool,
+    /// Newest observation of an engine process whose report has not arrived yet, and the time of
+    /// the response that showed it.
+    early: Option<(Instant, ObservedRateLimit)>,
 }
 
 impl RateLimitState {
@@ -40,11 +43,37 @@
 impl Control {
     /// Applies what an entry has seen in a response of the engine.
     pub(super) fn on_observed_limit(&mut self, now: Instant, seen: ObservedRateLimit) {
-        if seen.started != self.engine.started_at() {
-            return;
-        }
         let at = now.checked_sub(seen.age).unwrap_or(now);
-        self.observe_limit(at, seen.limit);
+        if seen.started == self.engine.started_at() {
+            self.observe_limit(at, seen.limit);
+        } else if seen.started > self.engine.started_at() {
+            let early = &mut self.engine.rate_limit.early;
+            let is_newest = early
+                .is_none_or(|(known_at, known)| (known.started, known_at) <= (seen.started, at));
+            if is_newest {
+                *early = Some((at, seen));
+            }
+        }
+    }
+
+    /// Forgets the limit of the engine process that has ended.
+    pub(super) fn reset_limit(&mut self) {
+        let early = self.engine.rate_limit.early;
+        self.engine.rate_limit = RateLimitState {
+            early,
+            ..RateLimitState::default()
+        };
+    }
+
+    /// Applies an observation that arrived before the first report of the engine process.
+    pub(super) fn apply_early_limit(&mut self) {
+        let started = self.engine.started_at();
+        let early = &mut self.engine.rate_limit.early;
+        if let Some((at, seen)) = early.take_if(|(_, seen)| seen.started <= started)
+            && seen.started == started
+        {
+            self.observe_limit(at, seen.limit);
+        }
     }
 
     /// Applies the limit that a report of the engine names, if any.
--- a/crates/dogwoodshunt_engine_agent/src/tests/rate_limit.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests/rate_limit.rs
@@ -2,6 +2,8 @@
 
 use super::TestAgent;
 use super::granted_runs;
+use crate::control::Event;
+use dogwoodshunt_runtime::ownership::Ownership;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_wire::Frame;
@@ -83,6 +85,28 @@
     assert_eq!(agent.granted_of_three(), 0);
 }
 
+#[test]
+fn limit_that_an_entry_tells_before_the_first_report_of_the_process_holds() {
+    let mut agent = TestAgent::new();
+    agent.connect_entry("entry", 7);
+    agent.handle_and_decide(Event::Ownership(Ownership::Owned { epoch: 5, era: 0 }));
+    agent.receive_observation(100, one_a_second(), Duration::from_millis(10));
+    agent.receive_upstream_config(|_| {});
+    agent.report_limit(None);
+    assert_eq!(agent.granted_of_three(), 1);
+    agent.receive_observation(101, one_a_second(), Duration::ZERO);
+    agent.receive_upstream_config(|config| {
+        let identity = config.upstream.as_mut().unwrap();
+        (identity.name, identity.started) = ("engine-2".into(), 101);
+    });
+    agent.receive_report(|report| {
+        report.started = 101;
+        report.adapters = vec![AdapterRef::new("a", "1")];
+    });
+    agent.now += Duration::from_millis(990);
+    assert_eq!(agent.granted_of_three(), 0);
+}
+
 #[test]
 fn limit_of_another_engine_process_is_ignored() {
     let mut agent = TestAgent::with_loaded_adapter();
