--- a/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
@@ -1,9 +1,11 @@
 //! Requests that crash upstreams, of which entries tell each other.
 
 use super::TestEntry;
+use crate::call::Call;
 use crate::control::ControlEvent;
 use crate::control::RunEnd;
 use crate::control::SelectedUpstream;
+use bytes::Bytes;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_serving::pool::CallEnd;
 use dogwoodshunt_types::NotRun;
@@ -12,7 +14,12 @@
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::RequestObservation;
 use dogwoodshunt_wire::frame::UpstreamProcess;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::header::HeaderValue;
+use rstest::rstest;
 use std::time::Duration;
+use std::time::Instant;
 
 const DEADLY: RequestFingerprint = 0xdead;
 
@@ -175,3 +182,44 @@
     let told = entry.take_requests();
     assert_eq!(told[1], [lost(1, 250)]);
 }
+
+fn call() -> Call {
+    Call {
+        id: "q1".into(),
+        host: "desk.example".into(),
+        path: "/lookup/7".into(),
+        method: Method::POST,
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"body"),
+        arrived: Instant::now(),
+        caller_timeout: None,
+        model: None,
+        resume_after: None,
+    }
+}
+
+#[test]
+fn repeat_under_another_id_has_the_same_fingerprint() {
+    let mut repeat = call();
+    repeat.id = "q2".into();
+    repeat
+        .headers
+        .insert("request-id", HeaderValue::from_static("q2"));
+    repeat.caller_timeout = Some(Duration::from_secs(1));
+    assert_eq!(repeat.fingerprint(), call().fingerprint());
+}
+
+#[rstest]
+#[case::method(|call: &mut Call| call.method = Method::GET)]
+#[case::host(|call: &mut Call| call.host = "other.example".into())]
+#[case::path(|call: &mut Call| call.path = "/lookup/8".into())]
+#[case::body(|call: &mut Call| call.body = Bytes::from_static(b"other"))]
+#[case::credentials(|call: &mut Call| {
+    let credentials = HeaderValue::from_static("Bearer a");
+    call.headers.insert("authorization", credentials);
+})]
+fn other_request_has_another_fingerprint(#[case] modify: impl FnOnce(&mut Call)) {
+    let mut other = call();
+    modify(&mut other);
+    assert_ne!(other.fingerprint(), call().fingerprint());
+}
