Tell callers whom all agents decline how long the engines are busy

Cause: each decline only adds its agent to the excluded ones; when none is left, the router sees no eligible agent and cannot know why.

Change: a placement keeps the shortest wait that an overloaded agent has named, and refuses with it when no other agent is left.

The test declined_placement_is_refused_after_all_agents_were_asked expected the wrong reason, NoUpstream; it checks the reason and the wait now. It and the new test fail without the change.

--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -102,6 +102,8 @@
     target: Target,
     /// Agents that have been asked before and are not asked again.
     excluded: Vec<AgentKey>,
+    /// Of the refusals of overloaded agents, the one with the shortest wait.
+    shortest_overload: Option<NotRun>,
     reply_tx: Sender<Result<Grant, NotRun>>,
 }
 
@@ -110,6 +112,25 @@
         self.excluded.len() as u64
     }
 
+    /// Records why an agent has declined the request.
+    fn on_declined(&mut self, not_run: NotRun) {
+        let is_shorter = self
+            .shortest_overload
+            .is_none_or(|known| not_run.retry_after < known.retry_after);
+        if not_run.reason == NotRunReason::Overloaded && is_shorter {
+            self.shortest_overload = Some(not_run);
+        }
+    }
+
+    /// Refuses the request since no agent is left to ask. An overloaded agent is up, so its
+    /// refusal says more than that there is no other agent.
+    fn refuse_beyond_agents(self, not_run: NotRun) {
+        let overload = self
+            .shortest_overload
+            .filter(|_| not_run.reason == NotRunReason::NoUpstream);
+        self.refuse(overload.unwrap_or(not_run));
+    }
+
     fn refuse(self, not_run: NotRun) {
         // The receiver is dropped if the caller has disconnected.
         let _ = self.reply_tx.try_send(Err(not_run));
@@ -156,6 +177,7 @@
             target: self.target_of(&req),
             req,
             excluded: Vec::new(),
+            shortest_overload: None,
             reply_tx,
         };
         self.request_admission(now, placement_id, placement);
@@ -178,7 +200,9 @@
     /// request if no agent is left to ask.
     fn request_admission(&mut self, now: Instant, placement_id: PlacementId, placement: Placement) {
         if placement.attempt() >= MAX_ADMISSION_ATTEMPTS {
-            placement.refuse(NotRun::new(NotRunReason::Overloaded, NO_AGENT_RETRY_AFTER));
+            let overloaded = NotRun::new(NotRunReason::Overloaded, NO_AGENT_RETRY_AFTER);
+            let not_run = placement.shortest_overload.unwrap_or(overloaded);
+            placement.refuse(not_run);
             return;
         }
         let routed = self.router.route(
@@ -193,7 +217,7 @@
         let agent = match routed {
             Ok(agent) => agent,
             Err(not_run) => {
-                placement.refuse(not_run);
+                placement.refuse_beyond_agents(not_run);
                 return;
             }
         };
@@ -344,10 +368,11 @@
         if !self.is_pending_at(placement_id, agent, attempt) {
             return;
         }
-        let Some(pending) = self.pending.remove(&placement_id) else {
+        let Some(mut pending) = self.pending.remove(&placement_id) else {
             return;
         };
         self.log_not_granted(now, placement_id, &pending, &not_run.reason.to_string());
+        pending.placement.on_declined(not_run);
         if not_run.reason == NotRunReason::Deadline {
             self.router.on_attempt_end(agent, &pending.placement.target);
             pending.placement.refuse(not_run);
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -381,7 +381,23 @@
     assert_ne!(first_agent, second_agent);
     entry.receive_declined(second_agent, admit.request, NotRunReason::Overloaded);
     let refusal = grant_rx.try_recv().unwrap().unwrap_err();
-    assert_eq!(refusal.reason, NotRunReason::NoUpstream);
+    let expected = NotRun::new(NotRunReason::Overloaded, Duration::from_millis(300));
+    assert_eq!(refusal, expected);
+}
+
+#[test]
+fn callers_whom_all_agents_decline_learn_the_shortest_wait() {
+    let mut entry = TestEntry::new();
+    let (_, grant_rx) = entry.place("a");
+    for wait_ms in [400, 700] {
+        let (agent, admit) = entry.expect_admit();
+        let not_run = NotRun::new(NotRunReason::Overloaded, Duration::from_millis(wait_ms));
+        let request = admit.request;
+        let frame = Frame::NotRun { request, not_run };
+        entry.handle(ControlEvent::Frame { agent, frame });
+    }
+    let refusal = grant_rx.try_recv().unwrap().unwrap_err();
+    assert_eq!(refusal.retry_after, Duration::from_millis(400));
 }
 
 #[test]
