End each request at an entry with one line, also when its caller leaves

Cause: the line was the last statement of CallHandler::serve, which is dropped with the connection of the caller, and exists only for requests that are read whole. At the end of the grace period the process exits without dropping its tasks.

Change: RequestRecord counts and logs a request when it is dropped, with its response or else as caller-left (or panicked), with what it waited for, the sends and the upstream. Requests that cannot be read are recorded too. At the end of the grace period requests end before the process exits: the caller is told 502 (may have run) or 503 (not run) in place of a reset, and streams are cut with the outcome stopping. A plain call that waits for another upstream after a send that may have run is not called "not run" there.

--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -8,14 +8,15 @@
 mod guard;
 mod model;
 mod plain_service;
+pub(crate) mod record;
 pub(crate) mod sse;
 mod stream;
 
+use crate::call::record::RequestRecord;
+use crate::call::record::Stage;
 use crate::control::ControlEvent;
 use crate::control::shared_state::SharedState;
-use crate::metrics;
 use crate::metrics::Metrics;
-use crate::metrics::RouteOutcomeLabels;
 use crate::metrics::ServiceOutcomeLabels;
 use crate::platform::Announcement;
 use crate::platform::Dispatch;
@@ -37,12 +38,13 @@
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::UpstreamName;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
 use rand::RngExt;
 use slog::Logger;
-use slog::info;
+use smol::future::FutureExt;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -52,6 +54,9 @@
 /// Retry-after time sent to callers while no configuration is known yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Retry-after time sent to callers whose request is queued when the process exits.
+const EXIT_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// Number of sends of one request that reached no upstream after which the
 /// request fails. Such sends use no retry budget, since no upstream receives
 /// them.
@@ -67,9 +72,24 @@
     /// Why the response to a send that may have run was lost; `None` if no such
     /// send has occurred.
     lost_response_reason: Option<Box<str>>,
+    /// Upstream selected last; `None` if none was selected or no agent has granted the last
+    /// placement.
+    upstream: Option<UpstreamName>,
+    /// What the request waits for.
+    stage: Stage,
 }
 
 impl SendHistory {
+    /// Returns the response to a request that has none when the process exits.
+    fn response_at_exit(&mut self) -> CallResponse {
+        if std::mem::take(&mut self.stage) == Stage::Response {
+            self.sent += 1;
+            self.lost_response_reason = Some("the entry has stopped".into());
+        }
+        let not_run = NotRun::new(NotRunReason::Leaving, EXIT_RETRY_AFTER);
+        self.refuse(not_run, Duration::ZERO)
+    }
+
     /// Returns the refusal of a request. If one of its sends may have run,
     /// returns [`CallResponse::Lost`] instead.
     fn refuse(&self, not_run: NotRun, useful_wait: Duration) -> CallResponse {
@@ -142,27 +162,6 @@
     Lost(Box<str>),
 }
 
-/// Response to a request together with the values that are logged about its
-/// sends.
-struct Completion {
-    response: CallResponse,
-    /// Upstream selected last; `None` if none was selected or the last grant was
-    /// refused.
-    upstream: Option<Box<str>>,
-    /// Number of sends that may have reached an upstream.
-    sent: u32,
-}
-
-impl Completion {
-    fn not_sent(response: CallResponse) -> Self {
-        Self {
-            response,
-            upstream: None,
-            sent: 0,
-        }
-    }
-}
-
 /// A request together with its route and service.
 struct RoutedCall {
     call: Call,
@@ -208,27 +207,19 @@
 impl<U: UpstreamClient> CallHandler<U> {
     /// Handles one request; dropping the future cancels the request.
     pub async fn serve(self: &Arc<Self>, call: Call) -> CallResponse {
+        let mut record = RequestRecord::new(&self.metrics, &self.log, &call.id, call.arrived);
+        let fingerprint = call.fingerprint();
+        record.set_fingerprint(fingerprint);
         let Some(route_table) = self.shared_state.routes() else {
             let not_run = NotRun::new(NotRunReason::Stale, STARTING_RETRY_AFTER);
-            return self.record_completion(
-                &call,
-                None,
-                Completion::not_sent(CallResponse::NotRun(not_run)),
-            );
+            return record.end(&call, CallResponse::NotRun(not_run));
         };
         let Some(route) = route_table.find(&call.host, &call.path) else {
-            return self.record_completion(
-                &call,
-                None,
-                Completion::not_sent(CallResponse::NoRoute),
-            );
+            return record.end(&call, CallResponse::NoRoute);
         };
+        record.set_route(&route.name);
         let Some(service) = route.service_for(&call.id).cloned() else {
-            return self.record_completion(
-                &call,
-                Some(route),
-                Completion::not_sent(CallResponse::NoRoute),
-            );
+            return record.end(&call, CallResponse::NoRoute);
         };
         let timeout = call
             .caller_timeout
@@ -238,54 +229,32 @@
         let has_engines = service_config.is_some_and(|service| service.engine.is_some());
         let routed = Arc::new(RoutedCall {
             deadline: call.arrived + timeout,
-            fingerprint: call.fingerprint(),
+            fingerprint,
             call,
             route: route.clone(),
             service,
         });
-        let completion = match (&routed.call.model, has_engines) {
-            (Some(_), true) => self.serve_model_request(&routed).await,
-            (None, true) => {
-                Completion::not_sent(CallResponse::Malformed("the request names no model".into()))
-            }
-            (_, false) => self.serve_plain_request(&routed).await,
+        let history = &mut record.history;
+        let response = async {
+            let response = match (&routed.call.model, has_engines) {
+                (Some(_), true) => self.serve_model_request(&routed, history).await,
+                (None, true) => CallResponse::Malformed("the request names no model".into()),
+                (_, false) => self.serve_plain_request(&routed, history).await,
+            };
+            Some(response)
         };
-        self.record_completion(&routed.call, Some(&routed.route), completion)
+        let process_exits = async {
+            self.shared_state.requests_end().await;
+            None
+        };
+        let response = response.or(process_exits).await;
+        let response = response.unwrap_or_else(|| record.history.response_at_exit());
+        record.end(&routed.call, response)
     }
 
-    /// Counts the outcome of a request and logs it in one line.
-    fn record_completion(
-        &self,
-        call: &Call,
-        route: Option<&Route>,
-        completion: Completion,
-    ) -> CallResponse {
-        let (outcome, detail) = match &completion.response {
-            CallResponse::Upstream { status, .. } => ("answered", status.as_str().to_owned()),
-            CallResponse::NoRoute => ("no-route", call.path.to_string()),
-            CallResponse::Malformed(reason) => ("malformed", reason.to_string()),
-            CallResponse::NotRun(not_run) => ("not-run", not_run.reason.to_string()),
-            CallResponse::TimedOut => ("late", String::new()),
-            CallResponse::Lost(reason) => ("lost", reason.to_string()),
-        };
-        let route = route.map_or("", |route| &route.name);
-        let upstream = completion.upstream.as_deref().unwrap_or("");
-        let elapsed = call.arrived.elapsed();
-        let labels = RouteOutcomeLabels {
-            route: route.into(),
-            outcome,
-        };
-        self.metrics.requests.get_or_create(&labels).inc();
-        metrics::observe_latency(
-            &self.metrics.response_head_seconds,
-            route,
-            elapsed.as_secs_f64(),
-        );
-        let elapsed = elapsed.as_millis() as u64;
-        info!(self.log, "request"; "id" => %call.id, "route" => route, "outcome" => outcome,
-            "detail" => detail, "upstream" => upstream, "sent" => completion.sent,
-            "took_ms" => elapsed, "fingerprint" => format!("{:016x}", call.fingerprint()));
-        completion.response
+    /// Records a request that could not be read, for the given reason.
+    pub fn record_malformed(&self, id: &str, arrived: Instant, reason: &str) {
+        RequestRecord::new(&self.metrics, &self.log, id, arrived).end_malformed(reason);
     }
 
     fn next_placement_id(&self) -> u64 {
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -3,11 +3,11 @@
 
 use crate::call::CallHandler;
 use crate::call::CallResponse;
-use crate::call::Completion;
 use crate::call::MAX_UNREACHED_SENDS;
 use crate::call::RoutedCall;
 use crate::call::SendHistory;
 use crate::call::guard::RunGuard;
+use crate::call::record::Stage;
 use crate::call::stream;
 use crate::call::stream::Relay;
 use crate::call::stream::StreamStats;
@@ -26,7 +26,6 @@
 use dogwoodshunt_serving::admission;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
-use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::Version;
 use slog::info;
 use slog::warn;
@@ -53,20 +52,10 @@
     pub(super) exchange: Exchange,
     /// Ends the run when dropped.
     pub(super) guard: RunGuard,
-    /// Name of the engine.
-    pub(super) upstream: UpstreamName,
     /// When the run was granted.
     pub(super) granted_at: Instant,
 }
 
-/// Failure of a request to which no engine has responded.
-pub(super) struct ModelFailure {
-    /// Response to the caller.
-    pub(super) response: CallResponse,
-    /// Engine of the last grant; `None` if the last grant was refused.
-    pub(super) upstream: Option<UpstreamName>,
-}
-
 /// Reason why one send to an engine failed.
 enum SendFailure {
     /// No response arrived by the deadline.
@@ -83,70 +72,63 @@
     pub(super) async fn serve_model_request(
         self: &Arc<Self>,
         routed: &Arc<RoutedCall>,
-    ) -> Completion {
-        let mut history = SendHistory::default();
+        history: &mut SendHistory,
+    ) -> CallResponse {
         if !self
             .shared_state
             .has_time_for_stream(Instant::now(), &routed.route.name)
         {
-            let not_run = NotRun::new(NotRunReason::Leaving, SHUTDOWN_RETRY_AFTER);
-            return Completion::not_sent(CallResponse::NotRun(not_run));
+            return CallResponse::NotRun(NotRun::new(NotRunReason::Leaving, SHUTDOWN_RETRY_AFTER));
         }
         let engine_response = self
-            .run_on_engine(routed, &mut history, routed.call.resume_after)
+            .run_on_engine(routed, history, routed.call.resume_after)
             .await;
-        let sent = history.sent;
-        match engine_response {
-            Ok(engine_response) => {
-                let end_check = routed.end_check(&engine_response.exchange);
-                let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check);
-                let upstream = Some(engine_response.upstream);
-                let response = CallResponse::Upstream {
-                    status: engine_response.exchange.status,
-                    headers: engine_response.exchange.headers.clone(),
-                    body: stream::relay_body(Relay {
-                        handler: self.clone(),
-                        routed: routed.clone(),
-                        history,
-                        exchange: engine_response.exchange,
-                        guard: Some(engine_response.guard),
-                        stats,
-                    }),
-                };
-                Completion {
-                    response,
-                    upstream,
-                    sent,
-                }
-            }
-            Err(ModelFailure { response, upstream }) => Completion {
-                response,
-                upstream,
-                sent,
-            },
+        let engine_response = match engine_response {
+            Ok(engine_response) => engine_response,
+            Err(response) => return response,
+        };
+        let end_check = routed.end_check(&engine_response.exchange);
+        let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check);
+        CallResponse::Upstream {
+            status: engine_response.exchange.status,
+            headers: engine_response.exchange.headers.clone(),
+            body: stream::relay_body(Relay {
+                handler: self.clone(),
+                routed: routed.clone(),
+                history: history.clone(),
+                exchange: engine_response.exchange,
+                guard: Some(engine_response.guard),
+                stats,
+            }),
         }
     }
 
     /// Runs the request on an engine and returns the engine's response, which
     /// starts after event `resume_after`. Tries other engines after failures that
     /// allow it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response to the caller if no engine has responded.
     pub(super) async fn run_on_engine(
         &self,
         routed: &RoutedCall,
         history: &mut SendHistory,
         resume_after: Option<u64>,
-    ) -> Result<EngineResponse, ModelFailure> {
+    ) -> Result<EngineResponse, CallResponse> {
         loop {
+            history.stage = Stage::Placement;
+            history.upstream = None;
             let placement_id = self.next_placement_id();
             let placement_started = Instant::now();
             let mut guard = RunGuard::new(placement_id, self.events.clone());
             let useful_wait = self.useful_wait(routed, history);
             let grant_result = self.request_grant(routed, placement_id, useful_wait).await;
             let granted_at = Instant::now();
-            let grant = grant_result.map_err(|not_run| ModelFailure {
-                response: history.refuse(not_run, self.useful_wait(routed, history)),
-                upstream: None,
-            })?;
+            let grant = grant_result
+                .map_err(|not_run| history.refuse(not_run, self.useful_wait(routed, history)))?;
+            history.stage = Stage::Response;
+            history.upstream = Some(grant.upstream.clone());
             let waited = granted_at
                 .saturating_duration_since(placement_started)
                 .as_secs_f64();
@@ -161,7 +143,6 @@
                     return Ok(EngineResponse {
                         exchange,
                         guard,
-                        upstream: grant.upstream,
                         granted_at,
                     });
                 }
@@ -170,8 +151,7 @@
             // Ends the run before the request is sent again.
             drop(guard);
             if let Some(response) = self.on_send_failure(routed, history, &grant, failure).await {
-                let upstream = Some(grant.upstream);
-                return Err(ModelFailure { response, upstream });
+                return Err(response);
             }
         }
     }
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -4,11 +4,11 @@
 
 use crate::call::CallHandler;
 use crate::call::CallResponse;
-use crate::call::Completion;
 use crate::call::MAX_UNREACHED_SENDS;
 use crate::call::RoutedCall;
 use crate::call::SendHistory;
 use crate::call::guard::CallGuard;
+use crate::call::record::Stage;
 use crate::call::refusal_response;
 use crate::control::ControlEvent;
 use crate::control::SelectedUpstream;
@@ -70,11 +70,15 @@
 }
 
 impl<U: UpstreamClient> CallHandler<U> {
-    pub(super) async fn serve_plain_request(&self, routed: &RoutedCall) -> Completion {
+    pub(super) async fn serve_plain_request(
+        &self,
+        routed: &RoutedCall,
+        history: &mut SendHistory,
+    ) -> CallResponse {
         let mut excluded: Vec<UpstreamName> = Vec::new();
-        let mut history = SendHistory::default();
         let mut last_failure: Option<CallResponse> = None;
         loop {
+            history.stage = Stage::Placement;
             let selected = self.select_upstream(routed, &excluded).await;
             let selected = selected.and_then(|selected| {
                 let before_deadline = Instant::now() < routed.deadline;
@@ -84,12 +88,13 @@
             let selected = match selected {
                 Ok(selected) => selected,
                 Err(not_run) => {
-                    let response =
-                        last_failure.unwrap_or_else(|| refusal_response(not_run, Duration::ZERO));
-                    return self.completion(response, &excluded, history.sent);
+                    return last_failure
+                        .unwrap_or_else(|| refusal_response(not_run, Duration::ZERO));
                 }
             };
             excluded.push(selected.upstream.clone());
+            history.stage = Stage::Response;
+            history.upstream = Some(selected.upstream.clone());
             let may_repeat = history.sent + 1 < routed.route.max_attempts;
             let outcome = self.send_once(routed, selected, may_repeat).await;
             let should_retry = match outcome {
@@ -99,17 +104,19 @@
                 }
                 SendOutcome::Refused => {
                     history.sent += 1;
-                    self.may_resend(routed, &history).await
+                    self.may_resend(routed, history).await
                 }
                 SendOutcome::BrokenOff(reason) | SendOutcome::Foreign(reason) => {
                     history.sent += 1;
+                    history.lost_response_reason = Some(reason.clone());
                     last_failure = Some(CallResponse::Lost(reason));
-                    self.may_repeat_run(routed, &history).await
+                    self.may_repeat_run(routed, history).await
                 }
                 SendOutcome::TimedOut => {
                     history.sent += 1;
+                    history.lost_response_reason = Some("no response arrived in time".into());
                     last_failure = Some(CallResponse::TimedOut);
-                    self.may_repeat_run(routed, &history).await
+                    self.may_repeat_run(routed, history).await
                 }
                 SendOutcome::Answered(exchange, body_bytes) => {
                     history.sent += 1;
@@ -119,30 +126,21 @@
                         headers: exchange.headers.clone(),
                         body: body::full(body_bytes),
                     };
-                    if !failed || !self.may_repeat_run(routed, &history).await {
-                        return self.completion(response, &excluded, history.sent);
+                    if !failed || !self.may_repeat_run(routed, history).await {
+                        return response;
                     }
+                    history.lost_response_reason = Some("the upstream has failed".into());
                     last_failure = Some(response);
                     true
                 }
             };
             if !should_retry {
                 let not_run = NotRun::new(NotRunReason::Overloaded, REFUSED_RETRY_AFTER);
-                let response =
-                    last_failure.unwrap_or_else(|| refusal_response(not_run, Duration::ZERO));
-                return self.completion(response, &excluded, history.sent);
+                return last_failure.unwrap_or_else(|| refusal_response(not_run, Duration::ZERO));
             }
         }
     }
 
-    fn completion(&self, response: CallResponse, tried: &[UpstreamName], sent: u32) -> Completion {
-        Completion {
-            response,
-            upstream: tried.last().cloned(),
-            sent,
-        }
-    }
-
     async fn select_upstream(
         &self,
         routed: &RoutedCall,
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -170,17 +170,21 @@
         while !self.is_finished {
             let timeout = async {
                 (&mut self.deadline_timer).await;
-                None
+                Err(("deadline", "the deadline has passed"))
             };
-            let chunk = async { Some(self.relay.exchange.next_chunk().await) };
-            let item = match chunk.or(timeout).await {
-                None => Some(Err(self.on_deadline())),
-                Some(Some(Ok(bytes))) => match self.on_bytes(&bytes) {
+            let process_exits = async {
+                self.relay.handler.shared_state.requests_end().await;
+                Err(("stopping", "the entry has stopped"))
+            };
+            let chunk = async { Ok(self.relay.exchange.next_chunk().await) };
+            let item = match chunk.or(timeout).or(process_exits).await {
+                Err((outcome, reason)) => Some(Err(self.cut(outcome, reason))),
+                Ok(Some(Ok(bytes))) => match self.on_bytes(&bytes) {
                     Ok(whole) => whole.map(Ok),
                     Err(error) => self.on_read_error(error).await.map(Err),
                 },
-                Some(Some(Err(error))) => self.on_read_error(error).await.map(Err),
-                Some(None) => match self.relay.stats.end_check.check_end() {
+                Ok(Some(Err(error))) => self.on_read_error(error).await.map(Err),
+                Ok(None) => match self.relay.stats.end_check.check_end() {
                     Ok(()) => self.on_end().map(Ok),
                     Err(cut) => {
                         let reason = cut.to_string().into();
@@ -208,11 +212,12 @@
         rest.filter(|rest| !rest.is_empty())
     }
 
-    fn on_deadline(&mut self) -> BodyError {
+    /// Ends the stream before its end, with the given outcome and for the given reason.
+    fn cut(&mut self, outcome: &'static str, reason: &str) -> BodyError {
         self.is_finished = true;
-        self.relay.stats.outcome = "deadline";
+        self.relay.stats.outcome = outcome;
         BodyError {
-            reason: "the deadline has passed".into(),
+            reason: reason.into(),
         }
     }
 
--- a/crates/dogwoodshunt_gateway/src/control/shared_state.rs
+++ b/crates/dogwoodshunt_gateway/src/control/shared_state.rs
@@ -1,5 +1,7 @@
 //! State that the control thread shares with the traffic threads.
 
+use async_channel::Receiver;
+use async_channel::Sender;
 use dogwoodshunt_serving::config::RouteTable;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -26,10 +28,26 @@
     upstreams_known: AtomicBool,
     /// When the process exits; `None` until it shuts down.
     exits_at: Mutex<Option<Instant>>,
+    /// Ends the requests in flight.
+    exit: ExitSignal,
     /// Moving average of the duration of complete streams, by route.
     mean_stream_durations: Mutex<HashMap<Box<str>, Duration>>,
 }
 
+/// Channel that is closed when the requests in flight have to end.
+#[derive(Debug)]
+struct ExitSignal {
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl Default for ExitSignal {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self { sender, receiver }
+    }
+}
+
 impl SharedState {
     /// Returns the routes in force, or `None` until a configuration has been
     /// read.
@@ -57,6 +75,16 @@
         lock(&self.exits_at).is_some()
     }
 
+    /// Ends the requests in flight, since the process is about to exit.
+    pub fn end_requests(&self) {
+        self.exit.sender.close();
+    }
+
+    /// Waits until the requests in flight have to end.
+    pub async fn requests_end(&self) {
+        let _ = self.exit.receiver.recv().await;
+    }
+
     /// Records the duration of a complete stream of `route`.
     pub fn record_stream_duration(&self, route: &str, duration: Duration) {
         let mut means = lock(&self.mean_stream_durations);
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -50,6 +50,9 @@
 /// requests are running, since its threads may have to wait for a CPU.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
 
+/// Time in which the last responses leave the process before it exits; part of [`EXIT_MARGIN`].
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
+
 /// Implementations that connect an entry to one platform.
 pub struct PlatformIntegration<K, D, U> {
     /// Client of the platform's store.
@@ -260,7 +263,7 @@
 /// Shuts the entry down gracefully once `stop` closes: reports not ready,
 /// accepts connections for [`DRAIN_DELAY`] longer, then waits for the requests
 /// in flight. Returns whether all of them were answered before the grace period
-/// ended.
+/// ended; the others end with it.
 async fn drain(
     settings: &GatewaySettings,
     shared_state: &SharedState,
@@ -276,15 +279,23 @@
     let _ = events.send(ControlEvent::Stop).await;
     Timer::at(stopped_at + DRAIN_DELAY).await;
     drop(stop_listeners);
-    let answered = async {
-        let _ = connections_drained.recv().await;
-        true
-    };
-    let grace_ended = async {
-        Timer::at(exits_at).await;
-        false
+    let drained_by = async |deadline| {
+        let drained = async {
+            let _ = connections_drained.recv().await;
+            true
+        };
+        let passed = async {
+            Timer::at(deadline).await;
+            false
+        };
+        drained.or(passed).await
     };
-    answered.or(grace_ended).await
+    if drained_by(exits_at).await {
+        return true;
+    }
+    shared_state.end_requests();
+    drained_by(exits_at + LAST_RESPONSES_TIME).await;
+    false
 }
 
 /// Answers every request on the readiness address with 200 or 503.
--- a/crates/dogwoodshunt_gateway/src/metrics.rs
+++ b/crates/dogwoodshunt_gateway/src/metrics.rs
@@ -58,7 +58,8 @@
 /// Metrics of an entry.
 #[derive(Clone, Debug)]
 pub struct Metrics {
-    /// Requests answered, by outcome.
+    /// Requests that have ended, by outcome; streams that follow an answer are counted in
+    /// `streams`.
     pub requests: Family<RouteOutcomeLabels, Counter>,
     /// Time from the arrival of a request to the head of its response, in
     /// seconds.
@@ -108,7 +109,7 @@
             connected_agents: Gauge::default(),
         };
         let requests = registered.requests.clone();
-        registry.register("requests", "Requests answered, by outcome", requests);
+        registry.register("requests", "Requests ended, by outcome", requests);
         let streams = registered.streams.clone();
         registry.register("streams", "Streams ended, by outcome", streams);
         let sends = registered.sends.clone();
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -5,6 +5,7 @@
 mod overview;
 mod quarantine;
 mod rate_limits;
+mod records;
 mod restore;
 mod sse;
 
