End each request of our own interface with one line

What operators saw: our own interface logged failed requests only, at debug level and without an id; a request whose caller left had no line and counted in no metric. Health probes counted as requests that ran.

Cause: the line and the counters followed the handler's last await, which a caller that leaves never reaches.

Change: as in for the platform's interface, a record logs and counts a request when it is dropped, with its outcome, the attempts, the id of the last one (by which agents log it) and what it waited for; a streamed response has a line of its own when it ends. Probes are not counted any more.

--- a/crates/dogwoodshunt_entry/src/api/executor.rs
+++ b/crates/dogwoodshunt_entry/src/api/executor.rs
@@ -5,6 +5,8 @@
 use crate::api::chunk_sequencer::BodyEvent;
 use crate::api::chunk_sequencer::ChunkSequencer;
 use crate::api::idempotency;
+use crate::api::record::Attempts;
+use crate::api::record::StreamRecord;
 use crate::api::request::CallerRequest;
 use crate::api::request::Delivery;
 use crate::api::response;
@@ -34,6 +36,7 @@
 use dogwoodshunt_wire::frame::ResponseHead;
 use dogwoodshunt_wire::frame::Submit;
 use hyper::Response;
+use slog::Logger;
 use smol::Timer;
 use std::time::Duration;
 use std::time::Instant;
@@ -56,6 +59,8 @@
     pub traffic: TrafficExecutor,
     /// Maximum number of attempts of one request.
     pub max_attempts: u32,
+    /// Logger of this process.
+    pub log: Logger,
 }
 
 /// Response to a request that ran.
@@ -147,22 +152,28 @@
     ///
     /// Returns the error for the caller if no attempt succeeds; its outcome says whether
     /// the request may have run.
-    pub async fn execute(&self, request: &CallerRequest) -> Result<CallerResponse, RequestError> {
+    pub async fn execute(
+        &self,
+        request: &CallerRequest,
+        attempts: &mut Attempts,
+    ) -> Result<CallerResponse, RequestError> {
         let mut excluded = Vec::new();
         let mut last_failure: Option<FailedAttempt> = None;
-        let mut attempts = 0;
         loop {
+            attempts.is_waiting = false;
             let routed = match self.route(request, &excluded).await {
                 Ok(routed) => routed,
                 Err(error) => return Err(final_routing_error(error, last_failure)),
             };
-            attempts += 1;
+            attempts.count += 1;
+            attempts.last = Some(routed.attempt.request);
+            attempts.is_waiting = true;
             let failed = match self.attempt(request, routed).await {
                 Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
             let context = RetryContext {
-                attempts,
+                attempts: attempts.count,
                 max_attempts: self.max_attempts,
                 repeatable: request.repeatable,
                 response_started: false,
@@ -255,7 +266,8 @@
         let request_id = attempt.request;
         let (attempt, head) = wait_for_head(attempt, &mut in_flight).await?;
         if request.delivery == Delivery::Streamed && request.idempotency_key.is_none() {
-            let body = self.stream(in_flight, reservation);
+            let record = StreamRecord::new(Instant::now(), request_id, self.log.clone());
+            let body = self.stream(in_flight, reservation, record);
             return Ok(CallerResponse::Streamed {
                 head,
                 request_id,
@@ -271,9 +283,14 @@
     }
 
     /// Forwards a response chunk by chunk, with backpressure from the caller.
-    fn stream(&self, in_flight: InFlightAttempt, reservation: Reservation) -> ResponseBody {
+    fn stream(
+        &self,
+        in_flight: InFlightAttempt,
+        reservation: Reservation,
+        record: StreamRecord,
+    ) -> ResponseBody {
         let (tx, rx) = async_channel::bounded(STREAM_QUEUE_CHUNKS);
-        let mut in_flight = in_flight;
+        let (mut in_flight, mut record) = (in_flight, record);
         let forward = async move {
             let mut sequencer = ChunkSequencer::default();
             loop {
@@ -281,13 +298,18 @@
                     BodyEvent::Bytes(data) => {
                         if tx.send(Ok(data)).await.is_err() {
                             // The caller has disconnected; dropping `in_flight` cancels the attempt.
+                            record.set_outcome("caller-left");
                             break;
                         }
                         in_flight.ack(sequencer.next_number());
                     }
                     BodyEvent::Ignored => {}
-                    BodyEvent::End => break,
+                    BodyEvent::End => {
+                        record.set_outcome("complete");
+                        break;
+                    }
                     BodyEvent::Failed(reason) => {
+                        record.set_outcome("broken-off");
                         let _ = tx.send(Err(BodyError { reason })).await;
                         break;
                     }
--- a/crates/dogwoodshunt_entry/src/api/idempotency.rs
+++ b/crates/dogwoodshunt_entry/src/api/idempotency.rs
@@ -5,6 +5,7 @@
 
 use crate::api::executor::CallerResponse;
 use crate::api::executor::RequestExecutor;
+use crate::api::record::Attempts;
 use crate::api::request::CallerRequest;
 use crate::api::response::REPLAYED_HEADER;
 use crate::api::response::RequestError;
@@ -102,13 +103,14 @@
         executor: &RequestExecutor,
         request: &CallerRequest,
         key: &str,
+        attempts: &mut Attempts,
     ) -> Result<CallerResponse, RequestError> {
         let fingerprint = fingerprint(request);
         let held = match self.claim(key, &fingerprint).await? {
             ClaimResult::Acquired(held) => held,
             ClaimResult::AlreadyClaimed(earlier) => return replay(earlier, &fingerprint),
         };
-        let response = executor.execute(request).await;
+        let response = executor.execute(request, attempts).await;
         match &response {
             Ok(response) => {
                 let state = claim_state(response);
--- a/crates/dogwoodshunt_entry/src/api/mod.rs
+++ b/crates/dogwoodshunt_entry/src/api/mod.rs
@@ -2,39 +2,38 @@
 //!
 //! [`request`] parses requests, [`executor`] sends them to agents with retries,
 //! `chunk_sequencer` checks the order of response chunks, [`idempotency`]
-//! handles requests that have an idempotency key, and [`response`] builds HTTP
-//! responses and errors.
+//! handles requests that have an idempotency key, [`response`] builds HTTP
+//! responses and errors, and [`record`] logs the end of each request.
 
 pub(crate) mod chunk_sequencer;
 pub mod executor;
 pub mod idempotency;
+pub mod record;
 pub mod request;
 pub mod response;
 
 use crate::api::executor::CallerResponse;
 use crate::api::executor::RequestExecutor;
 use crate::api::idempotency::IdempotentExecutor;
+use crate::api::record::Attempts;
+use crate::api::record::RequestRecord;
 use crate::api::request::CallerRequest;
 use crate::api::response::RequestError;
 use crate::control::ControlEvent;
 use crate::control::ControlQuery;
 use async_channel::Sender;
-use cadence::CountedExt;
 use cadence::StatsdClient;
-use cadence::Timed;
 use dogwoodshunt_border::generated::openai::Model;
 use dogwoodshunt_border::generated::openai::ModelList;
 use dogwoodshunt_border::http::ResponseBody;
 use dogwoodshunt_border::http::server;
 use dogwoodshunt_border::http::server::Handler;
 use dogwoodshunt_border::kv::Kv;
-use dogwoodshunt_types::RequestOutcome;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use slog::Logger;
-use slog::debug;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -69,20 +68,24 @@
 impl<K: Kv> Handler for CallerApi<K> {
     async fn handle(&self, req: Request<Incoming>) -> Response<ResponseBody> {
         let started_at = Instant::now();
+        match (req.method(), req.uri().path()) {
+            (&Method::GET, "/health") => return self.health().await,
+            (&Method::GET, "/v1/models") => return self.models().await,
+            _ => {}
+        }
+        let (metrics, log) = (self.metrics.clone(), self.log.clone());
+        let mut record = RequestRecord::new(started_at, req.uri().path(), metrics, log);
+        let attempts = &mut record.attempts;
         let result = match (req.method(), req.uri().path()) {
-            (&Method::GET, "/health") => Ok(self.health().await),
-            (&Method::GET, "/v1/models") => Ok(self.models().await),
             (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
-                self.complete(req, started_at).await
+                self.complete(req, started_at, attempts).await
+            }
+            (_, path) if path.starts_with("/services/") => {
+                self.call_service(req, started_at, attempts).await
             }
-            (_, path) if path.starts_with("/services/") => self.call_service(req, started_at).await,
             (method, path) => Err(RequestError::no_such_path(method, path)),
         };
-        let outcome = match &result {
-            Ok(_) => RequestOutcome::Ran,
-            Err(error) => error.outcome,
-        };
-        self.record_metrics(started_at, outcome);
+        record.end(&result);
         result.unwrap_or_else(RequestError::into_response)
     }
 }
@@ -92,36 +95,35 @@
         &self,
         req: Request<Incoming>,
         now: Instant,
+        attempts: &mut Attempts,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let request = CallerRequest::read_completion(req, &self.limits, now).await?;
-        self.execute(request).await
+        self.execute(request, attempts).await
     }
 
     async fn call_service(
         &self,
         req: Request<Incoming>,
         now: Instant,
+        attempts: &mut Attempts,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let request = CallerRequest::read_service_call(req, &self.limits, now).await?;
-        self.execute(request).await
+        self.execute(request, attempts).await
     }
 
     async fn execute(
         &self,
         request: CallerRequest,
+        attempts: &mut Attempts,
     ) -> Result<Response<ResponseBody>, RequestError> {
         let response = match &request.idempotency_key {
             Some(key) => {
                 self.idempotent_executor
-                    .execute(&self.executor, &request, key)
+                    .execute(&self.executor, &request, key, attempts)
                     .await
             }
-            None => self.executor.execute(&request).await,
+            None => self.executor.execute(&request, attempts).await,
         };
-        if let Err(error) = &response {
-            debug!(self.log, "request failed"; "wanted" => ?request.target,
-                "outcome" => error.outcome.as_str(), "reason" => %error.message);
-        }
         response.map(CallerResponse::into_response)
     }
 
@@ -159,10 +161,4 @@
             },
         )
     }
-
-    fn record_metrics(&self, started_at: Instant, outcome: RequestOutcome) {
-        // Metrics that cannot be sent are dropped by design.
-        let _ = self.metrics.incr(&format!("requests.{}", outcome.as_str()));
-        let _ = self.metrics.time("first_byte", started_at.elapsed());
-    }
 }
--- a/crates/dogwoodshunt_entry/src/entry.rs
+++ b/crates/dogwoodshunt_entry/src/entry.rs
@@ -291,6 +291,7 @@
                 events: events.clone(),
                 traffic: self.traffic.clone(),
                 max_attempts: u32::try_from(self.settings.routing.max_attempts).unwrap_or(u32::MAX),
+                log: self.log.clone(),
             },
             idempotent_executor: IdempotentExecutor::new(kv, self.identity.boot, self.log.clone()),
             events: events.clone(),
