Show in explain that the host of a request's engine fell silent

What operators saw: explain ID of a request whose caller left at a frozen host ended with the line of the request. `agent silent` names the address of an agent only, which no line of the request has.

Change: `agent silent` and `engine given up` name the upstream beside the agent, and explain selects them like other losses of the upstream that a request was sent to. The test of the selection failed first.

--- a/crates/dogwoodshunt_ctl/src/explain.rs
+++ b/crates/dogwoodshunt_ctl/src/explain.rs
@@ -22,8 +22,10 @@
 /// Fields with the time since the request or attempt started, in milliseconds.
 const ELAPSED_FIELDS: [&str; 2] = ["took_ms", "waited_ms"];
 
-/// Events that report the loss of an upstream by its name.
-const UPSTREAM_LOST_EVENTS: [&str; 3] = [
+/// Events that report the loss of an upstream by its name, or of the agent beside it.
+const UPSTREAM_LOST_EVENTS: [&str; 5] = [
+    "agent silent",
+    "engine given up",
     "engine not reached",
     "upstream gone",
     "upstream not reached",
--- a/crates/dogwoodshunt_ctl/src/tests.rs
+++ b/crates/dogwoodshunt_ctl/src/tests.rs
@@ -120,6 +120,8 @@
 ts_ms=25000 event="granted" node=agent-3 request=00a-256 target=base/a@1 waited_ms=600
 ts_ms=25001 event="placed" node=entry-1 id=c1 request=00a-256 upstream=engine-3 target=base/a@1
 ts_ms=25400 event="request" node=entry-1 id=c1 outcome=lost upstream=engine-3 took_ms=1000
+ts_ms=25300 event="agent silent" node=entry-1 upstream=engine-3 agent="10.0.0.3:99"
+ts_ms=25300 event="agent silent" node=entry-1 upstream=engine-4 agent="10.0.0.4:99"
 ts_ms=25500 event="engine lost" node=agent-3 error="reset"
 ts_ms=25500 event="engine lost" node=agent-4 error="reset"
 ts_ms=28000 event="upstream gone" node=entry-2 upstream=engine-3
@@ -142,6 +144,7 @@
         "ordered",
         "granted",
         "placed",
+        "agent silent",
         "request",
         "engine lost",
         "upstream gone",
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -217,7 +217,9 @@
                 now.saturating_duration_since(*unattended_since) >= MAX_UNATTENDED_TIME
             };
             if state.unattended_since.take_if(is_expired).is_some() {
-                warn!(self.context.log, "engine given up"; "agent" => %state.address);
+                let upstream = state.upstream.as_ref().map(|listed| &*listed.name);
+                warn!(self.context.log, "engine given up"; "agent" => %state.address,
+                    "upstream" => upstream);
                 self.router.set_unattended(*agent, false);
             }
         }
@@ -328,7 +330,9 @@
             self.send_heartbeat(now, agent, Vec::new());
         }
         for agent in timed_out {
-            warn!(self.context.log, "agent silent"; "agent" => self.agent_address(agent));
+            let upstream = self.engine_identity(agent).map(|listed| &*listed.name);
+            warn!(self.context.log, "agent silent"; "agent" => self.agent_address(agent),
+                "upstream" => upstream);
             self.on_agent_disconnected(now, agent, DisconnectCause::HeartbeatTimeout);
         }
     }
