Do not wait for hosts whose agent and engine are both silent

What callers saw: a request that reached an engine some milliseconds before its host froze got no answer until its caller left (2.4 s), though the entry knew after 1.8 s that the agent of the host was silent; on a repeatable route, too.

Cause: the end of the connection to an agent concerns placements that wait for it. Requests that it had granted went on waiting for their engine.

Change: after two missed heartbeats, requests that wait for the answer of the engine ask it for a sign of life: its report, which waits for no place in the batch. If none comes within 0.5 s, a repeatable request goes to another engine and the caller of another one is told 502 (it may have run), with time left to ask again. A loss of this kind is no hint that the request crashes engines.

--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -30,6 +30,7 @@
 use slog::info;
 use slog::warn;
 use smol::Timer;
+use smol::future;
 use smol::future::FutureExt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -43,6 +44,9 @@
 /// connection reaches another process.
 const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Time within which an engine gives a sign of life unless its host is frozen.
+const SIGN_OF_LIFE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Maximum number of prompt parts in a log line.
 const MAX_LOGGED_PARTS: usize = 6;
 
@@ -267,21 +271,26 @@
             resume_after,
             rate_limited: grant.rate_limited,
         };
-        let sent = async { Some(self.upstream_client.send(&routed.call, &dispatch).await) };
+        let sent = async { Ok(self.upstream_client.send(&routed.call, &dispatch).await) };
         let timeout = async {
             Timer::at(routed.deadline).await;
-            None
+            Err(("late", SendFailure::DeadlinePassed))
+        };
+        let silent = async {
+            self.host_falls_silent(grant).await;
+            let reason = "the host of the engine is silent";
+            Err(("silent", SendFailure::MayHaveRun(reason.into())))
         };
-        let (outcome, result) = match sent.or(timeout).await {
-            None => ("late", Err(SendFailure::DeadlinePassed)),
-            Some(Err(SendError::NotSent { message, .. })) => {
+        let (outcome, result) = match sent.or(timeout).or(silent).await {
+            Err((outcome, failure)) => (outcome, Err(failure)),
+            Ok(Err(SendError::NotSent { message, .. })) => {
                 ("unreached", Err(SendFailure::Unreached(message)))
             }
-            Some(Err(SendError::Lost { message, .. })) => {
+            Ok(Err(SendError::Lost { message, .. })) => {
                 guard.end = RunEnd::BrokenOff;
                 ("lost", Err(SendFailure::MayHaveRun(message)))
             }
-            Some(Ok(upstream_response)) => {
+            Ok(Ok(upstream_response)) => {
                 self.report_announcement(&routed.service, &dispatch, &upstream_response);
                 (
                     upstream_response.execution_status.as_str(),
@@ -292,6 +301,27 @@
         self.count_send(&routed.service, outcome);
         result
     }
+
+    /// Waits until neither the agent nor the engine of a grant gives a sign of life, as if their
+    /// host is frozen. An engine that answers while its agent is silent is not asked again.
+    async fn host_falls_silent(&self, grant: &Grant) {
+        // Nothing is sent on the channel; it is closed when the agent falls silent.
+        let _ = grant.agent_silent.recv().await;
+        let alive = async {
+            self.upstream_client
+                .wait_for_sign_of_life(grant.address)
+                .await;
+            true
+        };
+        let timed_out = async {
+            Timer::after(SIGN_OF_LIFE_TIMEOUT).await;
+            false
+        };
+        if alive.or(timed_out).await {
+            future::pending::<()>().await;
+        }
+        warn!(self.log, "host silent"; "upstream" => %grant.upstream, "request" => %grant.request);
+    }
 }
 
 /// Returns the ids of the first shared parts of the prompt for logs. The last part of a
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -25,6 +25,10 @@
 /// connection is closed. Nothing else reveals a stalled connection.
 const MAX_MISSED_HEARTBEATS: u32 = 3;
 
+/// Number of heartbeat intervals without a frame from an agent after which requests that wait
+/// for its engine ask the engine for a sign of life.
+const SUSPICIOUS_MISSED_HEARTBEATS: u32 = 2;
+
 /// Time for which an unattended engine, one whose agent is disconnected, still
 /// receives requests: longer than an agent takes to restart, and longer than
 /// most network partitions last.
@@ -311,6 +315,17 @@
         state.map_or_else(String::new, |state| state.address.to_string())
     }
 
+    /// Signals the silence of the agents that have sent no frame for
+    /// [`SUSPICIOUS_MISSED_HEARTBEATS`] intervals.
+    pub(super) fn signal_silent_agents(&self, now: Instant) {
+        let limit = self.settings.heartbeat_interval * SUSPICIOUS_MISSED_HEARTBEATS;
+        for (agent, state) in &self.agents {
+            if state.is_connected() && now.saturating_duration_since(state.last_frame_at) >= limit {
+                self.signal_silence(*agent);
+            }
+        }
+    }
+
     /// Sends heartbeats to all connected agents and disconnects those that have
     /// sent no frame for [`MAX_MISSED_HEARTBEATS`] intervals.
     pub(super) fn send_heartbeats(&mut self, now: Instant) {
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -419,6 +419,7 @@
         if self.registry.drop_expired(now) {
             self.sync_upstreams(now);
         }
+        self.signal_silent_agents(now);
         if self.next_heartbeat_at <= now {
             self.next_heartbeat_at = now + self.settings.heartbeat_interval;
             self.send_heartbeats(now);
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -9,6 +9,7 @@
 use crate::control::Control;
 use crate::control::PlacementId;
 use crate::platform::RecordDecoder;
+use async_channel::Receiver;
 use async_channel::Sender;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
@@ -81,6 +82,8 @@
     pub request: RequestId,
     /// Whether the upstream is known to limit the requests of all entries together.
     pub rate_limited: bool,
+    /// Is closed when the agent beside the upstream falls silent before the upstream answers.
+    pub agent_silent: Receiver<()>,
 }
 
 /// How a granted run has ended.
@@ -157,6 +160,8 @@
     demand: Demand,
     slo_deadline: Instant,
     useful_until: Instant,
+    /// Closed when the agent falls silent before the engine answers.
+    agent_silent: Sender<()>,
 }
 
 impl<D: RecordDecoder> Control<D> {
@@ -270,19 +275,15 @@
         let target = pending.placement.target.clone();
         info!(self.context.log, "granted unattended"; "request" => %request,
             "upstream" => %engine.name, "target" => %target);
-        self.start_run(
-            now,
-            placement_id,
-            pending,
-            Grant {
-                rate_limited: false,
-                upstream: engine.name,
-                address: engine.address,
-                started: engine.started,
-                target,
-                request,
-            },
-        );
+        self.start_run(now, placement_id, pending, |agent_silent| Grant {
+            rate_limited: false,
+            upstream: engine.name,
+            address: engine.address,
+            started: engine.started,
+            target,
+            request,
+            agent_silent,
+        });
     }
 
     fn start_run(
@@ -290,9 +291,11 @@
         now: Instant,
         placement_id: PlacementId,
         pending: PendingPlacement,
-        grant: Grant,
+        grant: impl FnOnce(Receiver<()>) -> Grant,
     ) {
         let placement = pending.placement;
+        let (agent_silent, silent_rx) = async_channel::bounded(1);
+        let grant = grant(silent_rx);
         let run = GrantedRun {
             agent: pending.agent,
             upstream: UpstreamProcess {
@@ -306,6 +309,7 @@
             demand: placement.req.demand,
             slo_deadline: placement.req.slo_deadline,
             useful_until: placement.req.useful_until,
+            agent_silent,
         };
         self.granted_runs.insert(placement_id, run);
         if placement.reply_tx.try_send(Ok(grant)).is_err() {
@@ -342,19 +346,15 @@
             .router
             .agent(agent)
             .is_some_and(|a| a.is_rate_limited());
-        self.start_run(
-            now,
-            placement_id,
-            pending,
-            Grant {
-                upstream,
-                address,
-                started,
-                target,
-                request,
-                rate_limited,
-            },
-        );
+        self.start_run(now, placement_id, pending, |agent_silent| Grant {
+            upstream,
+            address,
+            started,
+            target,
+            request,
+            rate_limited,
+            agent_silent,
+        });
     }
 
     pub(super) fn on_declined(
@@ -480,6 +480,15 @@
         at_agent.map(|(placement_id, _)| *placement_id).collect()
     }
 
+    /// Makes the requests that wait for the answer of an engine ask it for a sign of life, since
+    /// its agent is silent.
+    pub(super) fn signal_silence(&self, agent: AgentKey) {
+        let runs = self.granted_runs.values();
+        for run in runs.filter(|run| run.agent == agent) {
+            run.agent_silent.close();
+        }
+    }
+
     /// Sends a reconnected agent the runs that continue on its engine.
     pub(super) fn resend_granted_runs(&mut self, now: Instant, agent: AgentKey) {
         let runs = self.granted_runs.values().filter(|run| run.agent == agent);
--- a/crates/dogwoodshunt_gateway/src/platform.rs
+++ b/crates/dogwoodshunt_gateway/src/platform.rs
@@ -129,4 +129,8 @@
         call: &Call,
         dispatch: &Dispatch,
     ) -> impl Future<Output = Result<UpstreamResponse, SendError>> + Send;
+
+    /// Asks the engine at `address` for a sign of life, and waits until it answers or its
+    /// connection fails. An engine that has no free place for requests answers, too.
+    fn wait_for_sign_of_life(&self, address: SocketAddr) -> impl Future<Output = ()> + Send;
 }
--- a/crates/dogwoodshunt_proof/tests/last_lines.rs
+++ b/crates/dogwoodshunt_proof/tests/last_lines.rs
@@ -24,7 +24,7 @@
         token_time: Duration::from_millis(100),
         ..ClusterConfig::default()
     };
-    let cluster = Cluster::start(&config).await.unwrap();
+    let cluster = Cluster::start(&config).await.expect("cluster");
     cluster.add_adapters("n1", &["roast"], "1").await;
     cluster
 }
