Log the software version of engines and the stream that a request takes up

The list of upstreams carries the version now, `placed` and `stream ended` name it, and `request` names the attempt in `Resumes`. Nothing decides by them yet.

--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -137,6 +137,9 @@
     /// Id of the last event that the caller has received, for a stream to be
     /// resumed after that event.
     pub resume_after: Option<u64>,
+    /// Id of the caller's request whose response brought the first event of the stream, if the
+    /// caller names it.
+    pub resumes: Option<Box<str>>,
 }
 
 /// Response to a caller's request.
@@ -210,6 +213,7 @@
         let mut record = RequestRecord::new(&self.metrics, &self.log, &call.id, call.arrived);
         let fingerprint = call.fingerprint();
         record.set_fingerprint(fingerprint);
+        record.set_resumed_stream(&call);
         let Some(route_table) = self.shared_state.routes() else {
             let not_run = NotRun::new(NotRunReason::Stale, STARTING_RETRY_AFTER);
             return record.end(&call, CallResponse::NotRun(not_run));
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -26,6 +26,7 @@
 use dogwoodshunt_serving::admission;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::Version;
 use slog::info;
 use slog::warn;
@@ -58,6 +59,8 @@
     pub(super) guard: RunGuard,
     /// When the run was granted.
     pub(super) granted_at: Instant,
+    /// Version of the software of the engine, as listed.
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 /// Reason why one send to an engine failed.
@@ -92,7 +95,8 @@
             Err(response) => return response,
         };
         let end_check = routed.end_check(&engine_response.exchange);
-        let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check);
+        let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check)
+            .with_software(engine_response.software);
         CallResponse::Upstream {
             status: engine_response.exchange.status,
             headers: engine_response.exchange.headers.clone(),
@@ -137,7 +141,8 @@
                 .saturating_duration_since(placement_started)
                 .as_secs_f64();
             info!(self.log, "placed"; "id" => %routed.call.id, "request" => %grant.request,
-                "upstream" => %grant.upstream, "target" => %grant.target,
+                "upstream" => %grant.upstream,
+                "software" => grant.software.as_deref().unwrap_or(""), "target" => %grant.target,
                 "waited_ms" => (waited * 1e3) as u64, "sent" => history.sent,
                 "parts" => shared_parts(routed));
             metrics::observe_latency(&self.metrics.grant_wait_seconds, &routed.route.name, waited);
@@ -148,6 +153,7 @@
                         exchange,
                         guard,
                         granted_at,
+                        software: grant.software,
                     });
                 }
                 Err(failure) => failure,
--- a/crates/dogwoodshunt_gateway/src/call/record.rs
+++ b/crates/dogwoodshunt_gateway/src/call/record.rs
@@ -38,6 +38,8 @@
     arrived: Instant,
     fingerprint: Option<RequestFingerprint>,
     route: Box<str>,
+    /// Id of the caller's request that began the stream, if this one takes a stream up.
+    resumes: Box<str>,
     /// Results of the sends of the request so far.
     pub(super) history: SendHistory,
     /// Outcome and its detail; `None` until there is a response.
@@ -54,6 +56,7 @@
             arrived,
             fingerprint: None,
             route: Box::default(),
+            resumes: Box::default(),
             history: SendHistory::default(),
             response: None,
             metrics: metrics.clone(),
@@ -65,6 +68,11 @@
         self.fingerprint = Some(fingerprint);
     }
 
+    /// Sets what stream the request takes up, if it does.
+    pub(super) fn set_resumed_stream(&mut self, call: &Call) {
+        self.resumes = call.resumes.clone().unwrap_or_default();
+    }
+
     pub(super) fn set_route(&mut self, route: &str) {
         self.route = route.into();
     }
@@ -118,6 +126,7 @@
             "outcome" => outcome, "detail" => %detail, "waits_for" => waits_for,
             "upstream" => self.history.upstream.as_deref().unwrap_or(""),
             "sent" => self.history.sent + u32::from(is_sending),
+            "resumes" => %self.resumes,
             "took_ms" => self.arrived.elapsed().as_millis() as u64,
             "fingerprint" => fingerprint.unwrap_or_default());
     }
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -22,6 +22,7 @@
 use dogwoodshunt_border::http::StreamEndCheck;
 use dogwoodshunt_border::http::body;
 use dogwoodshunt_border::http::body::BodyError;
+use dogwoodshunt_types::SoftwareVersion;
 use slog::Logger;
 use slog::info;
 use slog::warn;
@@ -65,6 +66,8 @@
     longest_event_gap: Duration,
     /// Number of times that the stream was resumed on another engine.
     resume_count: u32,
+    /// Versions of the software of the engines that wrote the stream, in their order.
+    software: Vec<Box<str>>,
     /// Value of the `outcome` label in metrics.
     outcome: &'static str,
     /// Check of the end of the latest response.
@@ -91,6 +94,7 @@
             last_chunk_at: now,
             longest_event_gap: Duration::ZERO,
             resume_count: 0,
+            software: Vec::new(),
             outcome: "caller-left",
             end_check,
             route: routed.route.name.clone(),
@@ -100,6 +104,16 @@
         }
     }
 
+    /// Adds the version of the software of the engine whose response follows.
+    pub(super) fn with_software(mut self, software: Option<SoftwareVersion>) -> Self {
+        self.add_software(software);
+        self
+    }
+
+    fn add_software(&mut self, software: Option<SoftwareVersion>) {
+        self.software.push(software.unwrap_or_default());
+    }
+
     fn on_chunk(&mut self, now: Instant) {
         if self.first_event_after.is_some() {
             let gap = now.saturating_duration_since(self.last_chunk_at);
@@ -147,7 +161,7 @@
         info!(self.log, "stream ended"; "id" => %self.id, "outcome" => self.outcome,
             "granted_ms" => millis(self.granted_after),
             "first_ms" => self.first_event_after.map(millis).unwrap_or(0),
-            "resumed" => self.resume_count, "pause_ms" => millis(self.longest_event_gap),
+            "resumed" => self.resume_count, "software" => self.software.join(","), "pause_ms" => millis(self.longest_event_gap),
             "framing" => self.end_check.framing().as_str(),
             "inside_event" => self.end_check.is_inside_event(),
             "took_ms" => millis(duration));
@@ -274,6 +288,7 @@
                 relay.exchange = engine_response.exchange;
                 relay.guard = Some(engine_response.guard);
                 relay.stats.resume_count += 1;
+                relay.stats.add_software(engine_response.software);
                 return None;
             }
         }
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -22,6 +22,7 @@
 use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
@@ -76,6 +77,8 @@
     pub address: SocketAddr,
     /// Start time of the upstream process.
     pub started: UnixMillis,
+    /// Version of the software of the upstream, as listed.
+    pub software: Option<SoftwareVersion>,
     /// Model or adapter version that is ready on the upstream.
     pub target: Target,
     /// Id of this attempt in the frames exchanged with the agent.
@@ -280,6 +283,7 @@
             upstream: engine.name,
             address: engine.address,
             started: engine.started,
+            software: engine.software,
             target,
             request,
             agent_silent,
@@ -342,6 +346,7 @@
             return;
         };
         let (address, started) = (engine.address, engine.started);
+        let software = engine.software.clone();
         let rate_limited = self
             .router
             .agent(agent)
@@ -350,6 +355,7 @@
             upstream,
             address,
             started,
+            software,
             target,
             request,
             rate_limited,
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -87,6 +87,7 @@
                 address: SocketAddr::from(([127, 0, 0, host.parse().unwrap()], 80)),
                 domain: "a".into(),
                 started: 1,
+                software: None,
                 leaving: state == "leaving",
             }),
             _ => DecodedRecord::Unreadable("unknown record type".into()),
--- a/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
@@ -195,6 +195,7 @@
         caller_timeout: None,
         model: None,
         resume_after: None,
+        resumes: None,
     }
 }
 
--- a/crates/dogwoodshunt_gateway/src/tests/overview.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/overview.rs
@@ -15,6 +15,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         domain: "a".into(),
         started: 0,
+        software: None,
         leaving: name.starts_with("leaving"),
     })
 }
--- a/crates/dogwoodshunt_serving/src/registry.rs
+++ b/crates/dogwoodshunt_serving/src/registry.rs
@@ -7,6 +7,7 @@
 
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::StoreEra;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
@@ -37,6 +38,8 @@
     /// Start time of the upstream by its own clock, in milliseconds; 0 if the record
     /// contains none.
     pub started: UnixMillis,
+    /// Version of the software of the upstream; `None` if the record contains none.
+    pub software: Option<SoftwareVersion>,
     /// Whether the upstream accepts no new requests.
     pub leaving: bool,
 }
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -116,6 +116,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         domain: "a".into(),
         started: 1,
+        software: None,
         leaving: false,
     }
 }
--- a/crates/dogwoodshunt_serving/src/tests/rate_limits.rs
+++ b/crates/dogwoodshunt_serving/src/tests/rate_limits.rs
@@ -21,6 +21,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 80)),
         domain: "a".into(),
         started,
+        software: None,
         leaving: false,
     }
 }
--- a/crates/dogwoodshunt_types/src/id.rs
+++ b/crates/dogwoodshunt_types/src/id.rs
@@ -18,6 +18,10 @@
 /// Name of an upstream, unique across all hosts.
 pub type UpstreamName = Box<str>;
 
+/// Version of the software of an upstream, with no order among versions. Streams of two versions do
+/// not fit together.
+pub type SoftwareVersion = Box<str>;
+
 /// Name of a service. One or more upstreams serve a service.
 pub type ServiceName = Box<str>;
 
--- a/crates/dogwoodshunt_types/src/lib.rs
+++ b/crates/dogwoodshunt_types/src/lib.rs
@@ -27,6 +27,7 @@
 pub use crate::id::RequestId;
 pub use crate::id::Revision;
 pub use crate::id::ServiceName;
+pub use crate::id::SoftwareVersion;
 pub use crate::id::StoreEra;
 pub use crate::id::UnixMillis;
 pub use crate::id::UpstreamName;
