--- a/crates/dogwoodshunt_engine_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/links.rs
@@ -4,6 +4,7 @@
 use crate::control::Control;
 use crate::control::Event;
 use crate::control::LinkKey;
+use crate::control::streams::StreamAnswer;
 use async_channel::Sender;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::report::ReportUpdate;
@@ -80,7 +81,7 @@
         };
         self.context.traffic.spawn(forward_frames).detach();
         let report = Arc::new(self.scheduler.report(now));
-        self.send_heartbeat(now, key, &report);
+        self.send_heartbeat(now, key, &report, StreamAnswer::default());
     }
 
     /// Numbers the connected entries in the order of their names.
@@ -135,6 +136,7 @@
                     self.on_observed_limit(now, seen);
                 }
                 self.on_request_observations(now, heartbeat.requests);
+                self.on_streams(now, key, heartbeat.stream_origins, &heartbeat.asked_streams);
             }
             Frame::Cancel { request } => self.on_cancel(now, request),
             Frame::Done {
@@ -205,7 +207,7 @@
         }
         heartbeats_due
             .into_iter()
-            .for_each(|key| self.send_heartbeat(now, key, &report));
+            .for_each(|key| self.send_heartbeat(now, key, &report, StreamAnswer::default()));
         changes_due
             .into_iter()
             .for_each(|key| self.send_report_changes(now, key, &report));
@@ -218,7 +220,7 @@
         let report = Arc::new(self.scheduler.report(now));
         let keys: Vec<LinkKey> = self.links.keys().collect();
         keys.into_iter()
-            .for_each(|key| self.send_heartbeat(now, key, &report));
+            .for_each(|key| self.send_heartbeat(now, key, &report, StreamAnswer::default()));
     }
 
     /// Sends the changes of the report since the last one on a connection; a change
@@ -228,7 +230,9 @@
             return;
         };
         match report.update_since(link.last_report.as_deref()) {
-            ReportUpdate::Full(_) => self.send_heartbeat(now, key, report),
+            ReportUpdate::Full(_) => {
+                self.send_heartbeat(now, key, report, StreamAnswer::default());
+            }
             ReportUpdate::Load(load) => {
                 link.last_report_sent_at = now;
                 link.last_report = Some(report.clone());
@@ -237,7 +241,13 @@
         }
     }
 
-    fn send_heartbeat(&mut self, now: Instant, key: LinkKey, report: &Arc<Report>) {
+    pub(super) fn send_heartbeat(
+        &mut self,
+        now: Instant,
+        key: LinkKey,
+        report: &Arc<Report>,
+        streams: StreamAnswer,
+    ) {
         let leaving = self.stop_at.is_some();
         let epoch = self.fencing_token();
         let connected_entries = u32::try_from(self.links.len()).unwrap_or(u32::MAX);
@@ -263,6 +273,8 @@
             requests,
             connected_entries,
             entry_rank: Some(link.rank),
+            stream_origins: streams.known,
+            unknown_streams: streams.unknown,
             report: Some(update),
             ..Heartbeat::default()
         };
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -3,8 +3,8 @@
 //! All input arrives as an [`Event`]. Module `links` handles the connections of
 //! entries, `runs` the runs that entries request, `engine` the reports of the
 //! engine and the orders to the engine, `rate_limit` the limit that the engine names,
-//! `crashes` the records of its crashes, and `lost_requests` passes on which responses entries
-//! have lost.
+//! `crashes` the records of its crashes, `lost_requests` passes on which responses entries
+//! have lost, and `streams` remembers which software versions began streams.
 
 mod crashes;
 mod engine;
@@ -12,6 +12,7 @@
 mod lost_requests;
 mod rate_limit;
 mod runs;
+mod streams;
 
 use crate::control::crashes::CrashLog;
 use crate::control::engine::EngineState;
@@ -35,6 +36,7 @@
 use dogwoodshunt_runtime::ownership::Ownership;
 use dogwoodshunt_runtime::telemetry::ViolationMonitor;
 use dogwoodshunt_runtime::traffic::TrafficExecutor;
+use dogwoodshunt_streams::StreamMemory;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_wire::Frame;
@@ -142,6 +144,7 @@
     engine: EngineState,
     crash_log: CrashLog,
     request_log: RequestLog,
+    stream_memory: StreamMemory,
     links: SlotMap<LinkKey, LinkState>,
     runs: HashMap<RequestId, RunState>,
     request_by_job: HashMap<JobKey, RequestId>,
@@ -166,6 +169,7 @@
             engine: EngineState::new(now),
             crash_log: CrashLog::default(),
             request_log: RequestLog::default(),
+            stream_memory: StreamMemory::default(),
             links: SlotMap::with_key(),
             runs: HashMap::new(),
             request_by_job: HashMap::new(),
--- a/crates/dogwoodshunt_entry/src/api/response.rs
+++ b/crates/dogwoodshunt_entry/src/api/response.rs
@@ -104,6 +104,8 @@
             | NotRunReason::NoUpstream
             | NotRunReason::Paused
             | NotRunReason::KeyValueServiceUnreachable
+            | NotRunReason::SoftwareGone
+            | NotRunReason::SoftwareUnknown
             | NotRunReason::Stale => StatusCode::SERVICE_UNAVAILABLE,
         };
         let text = format!("the request was not run: {}", not_run.reason);
--- a/crates/dogwoodshunt_entry/src/control/routing.rs
+++ b/crates/dogwoodshunt_entry/src/control/routing.rs
@@ -100,6 +100,7 @@
                 deadline: attempt_request.deadline,
                 excluded: &attempt_request.excluded,
                 demand: &Demand::default(),
+                software: None,
             },
         );
         let agent = routed.map_err(RoutingError::NotRun)?;
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod record;
 pub(crate) mod sse;
 mod stream;
+mod take_up;
 
 use crate::call::record::RequestRecord;
 use crate::call::record::Stage;
@@ -33,11 +34,13 @@
 use dogwoodshunt_serving::Route;
 use dogwoodshunt_serving::admission;
 use dogwoodshunt_serving::config::RouteKind;
+use dogwoodshunt_serving::config::RouteTable;
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UpstreamName;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -77,6 +80,9 @@
     upstream: Option<UpstreamName>,
     /// What the request waits for.
     stage: Stage,
+    /// Version of the software that must run the request, since one that runs it has begun the
+    /// stream; `None` if any may.
+    software: Option<SoftwareVersion>,
 }
 
 impl SendHistory {
@@ -216,44 +222,63 @@
         record.set_resumed_stream(&call);
         let Some(route_table) = self.shared_state.routes() else {
             let not_run = NotRun::new(NotRunReason::Stale, STARTING_RETRY_AFTER);
-            return record.end(&call, CallResponse::NotRun(not_run));
+            return record.end(&call.path, CallResponse::NotRun(not_run));
         };
         let Some(route) = route_table.find(&call.host, &call.path) else {
-            return record.end(&call, CallResponse::NoRoute);
+            return record.end(&call.path, CallResponse::NoRoute);
         };
         record.set_route(&route.name);
-        let Some(service) = route.service_for(&call.id).cloned() else {
-            return record.end(&call, CallResponse::NoRoute);
+        let path = call.path.clone();
+        let history = &mut record.history;
+        let response = async {
+            let response = self
+                .serve_routed(&route_table, route, call, fingerprint, history)
+                .await;
+            Some(response)
+        };
+        let process_exits = async {
+            self.shared_state.requests_end().await;
+            None
         };
+        let response = response.or(process_exits).await;
+        let response = response.unwrap_or_else(|| record.history.response_at_exit());
+        record.end(&path, response)
+    }
+
+    async fn serve_routed(
+        self: &Arc<Self>,
+        route_table: &RouteTable,
+        route: &Arc<Route>,
+        call: Call,
+        fingerprint: RequestFingerprint,
+        history: &mut SendHistory,
+    ) -> CallResponse {
         let timeout = call
             .caller_timeout
             .unwrap_or(route.timeout)
             .min(route.timeout);
+        let deadline = call.arrived + timeout;
+        let destination = match self.find_destination(&call, route, deadline).await {
+            Ok(Some(destination)) => destination,
+            Ok(None) => return CallResponse::NoRoute,
+            Err(not_run) => return refusal_response(not_run, Duration::ZERO),
+        };
+        history.software = destination.software;
+        let service = destination.service;
         let service_config = route_table.config().service(&service);
         let has_engines = service_config.is_some_and(|service| service.engine.is_some());
         let routed = Arc::new(RoutedCall {
-            deadline: call.arrived + timeout,
+            deadline,
             fingerprint,
             call,
             route: route.clone(),
             service,
         });
-        let history = &mut record.history;
-        let response = async {
-            let response = match (&routed.call.model, has_engines) {
-                (Some(_), true) => self.serve_model_request(&routed, history).await,
-                (None, true) => CallResponse::Malformed("the request names no model".into()),
-                (_, false) => self.serve_plain_request(&routed, history).await,
-            };
-            Some(response)
-        };
-        let process_exits = async {
-            self.shared_state.requests_end().await;
-            None
-        };
-        let response = response.or(process_exits).await;
-        let response = response.unwrap_or_else(|| record.history.response_at_exit());
-        record.end(&routed.call, response)
+        match (&routed.call.model, has_engines) {
+            (Some(_), true) => self.serve_model_request(&routed, history).await,
+            (None, true) => CallResponse::Malformed("the request names no model".into()),
+            (_, false) => self.serve_plain_request(&routed, history).await,
+        }
     }
 
     /// Records a request that could not be read, for the given reason.
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -59,7 +59,7 @@
     pub(super) guard: RunGuard,
     /// When the run was granted.
     pub(super) granted_at: Instant,
-    /// Version of the software of the engine, as listed.
+    /// Version of the software of the engine; `None` if it is not known.
     pub(super) software: Option<SoftwareVersion>,
 }
 
@@ -95,8 +95,7 @@
             Err(response) => return response,
         };
         let end_check = routed.end_check(&engine_response.exchange);
-        let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check)
-            .with_software(engine_response.software);
+        let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check);
         CallResponse::Upstream {
             status: engine_response.exchange.status,
             headers: engine_response.exchange.headers.clone(),
@@ -106,6 +105,7 @@
                 history: history.clone(),
                 exchange: engine_response.exchange,
                 guard: Some(engine_response.guard),
+                software: engine_response.software,
                 stats,
             }),
         }
@@ -131,7 +131,9 @@
             let placement_started = Instant::now();
             let mut guard = RunGuard::new(placement_id, self.events.clone());
             let useful_wait = self.useful_wait(routed, history);
-            let grant_result = self.request_grant(routed, placement_id, useful_wait).await;
+            let grant_result = self
+                .request_grant(routed, placement_id, useful_wait, &history.software)
+                .await;
             let granted_at = Instant::now();
             let grant = grant_result
                 .map_err(|not_run| history.refuse(not_run, self.useful_wait(routed, history)))?;
@@ -222,6 +224,7 @@
         routed: &RoutedCall,
         placement_id: u64,
         useful_wait: Duration,
+        software: &Option<SoftwareVersion>,
     ) -> Result<Grant, NotRun> {
         let shutdown_refusal = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY_AFTER);
         let Some(model) = &routed.call.model else {
@@ -237,6 +240,7 @@
             base_model: model.base_model.clone(),
             adapter: model.adapter.clone(),
             demand,
+            software: software.clone(),
             slo_deadline: routed.call.arrived + routed.route.latency_objective,
             useful_until,
         };
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -23,6 +23,7 @@
 use dogwoodshunt_serving::pool::CallEnd;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UpstreamName;
 use slog::warn;
 use smol::Timer;
@@ -79,7 +80,7 @@
         let mut last_failure: Option<CallResponse> = None;
         loop {
             history.stage = Stage::Placement;
-            let selected = self.select_upstream(routed, &excluded).await;
+            let selected = self.select_upstream(routed, &excluded, history).await;
             let selected = selected.and_then(|selected| {
                 let before_deadline = Instant::now() < routed.deadline;
                 let too_late = NotRun::new(NotRunReason::NoUpstream, REFUSED_RETRY_AFTER);
@@ -96,6 +97,7 @@
             history.stage = Stage::Response;
             history.upstream = Some(selected.upstream.clone());
             let may_repeat = history.sent + 1 < routed.route.max_attempts;
+            let software = selected.software.clone();
             let outcome = self.send_once(routed, selected, may_repeat).await;
             let should_retry = match outcome {
                 SendOutcome::Unreached(_) => {
@@ -126,6 +128,9 @@
                         headers: exchange.headers.clone(),
                         body: body::full(body_bytes),
                     };
+                    if exchange.status.is_success() {
+                        self.report_stream_begun(routed, software.as_ref());
+                    }
                     if !failed || !self.may_repeat_run(routed, history).await {
                         return response;
                     }
@@ -141,10 +146,27 @@
         }
     }
 
+    /// Records which software version has begun a stream that its caller may take up.
+    fn report_stream_begun(&self, routed: &RoutedCall, software: Option<&SoftwareVersion>) {
+        let is_stream = matches!(
+            routed.route.kind,
+            RouteKind::Stream {
+                resumable: true,
+                ..
+            }
+        );
+        if let Some(software) = software.filter(|_| is_stream) {
+            let origin = routed.call.stream_origin(&routed.service, software);
+            // The channel is unbounded and closes only while the process exits.
+            let _ = self.events.try_send(ControlEvent::StreamBegun(origin));
+        }
+    }
+
     async fn select_upstream(
         &self,
         routed: &RoutedCall,
         excluded: &[UpstreamName],
+        history: &SendHistory,
     ) -> Result<SelectedUpstream, NotRun> {
         // The control thread ends only with the process.
         let stopping = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY_AFTER);
@@ -153,6 +175,7 @@
             service: routed.service.clone(),
             fingerprint: routed.fingerprint,
             excluded: excluded.to_vec(),
+            software: history.software.clone(),
             reply_tx,
         };
         self.events.send(event).await.map_err(|_| stopping)?;
--- a/crates/dogwoodshunt_gateway/src/call/record.rs
+++ b/crates/dogwoodshunt_gateway/src/call/record.rs
@@ -6,6 +6,7 @@
 use crate::metrics;
 use crate::metrics::Metrics;
 use crate::metrics::RouteOutcomeLabels;
+use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::RequestFingerprint;
 use slog::Logger;
 use slog::info;
@@ -40,6 +41,8 @@
     route: Box<str>,
     /// Id of the caller's request that began the stream, if this one takes a stream up.
     resumes: Box<str>,
+    /// Why the request may not take its stream up.
+    take_up_refusal: Option<&'static str>,
     /// Results of the sends of the request so far.
     pub(super) history: SendHistory,
     /// Outcome and its detail; `None` until there is a response.
@@ -57,6 +60,7 @@
             fingerprint: None,
             route: Box::default(),
             resumes: Box::default(),
+            take_up_refusal: None,
             history: SendHistory::default(),
             response: None,
             metrics: metrics.clone(),
@@ -78,12 +82,19 @@
     }
 
     /// Ends the record with the response to the caller, and returns the response.
-    pub(super) fn end(mut self, call: &Call, response: CallResponse) -> CallResponse {
+    pub(super) fn end(mut self, path: &str, response: CallResponse) -> CallResponse {
         let (outcome, detail) = match &response {
             CallResponse::Upstream { status, .. } => ("answered", status.as_str().into()),
-            CallResponse::NoRoute => ("no-route", call.path.clone()),
+            CallResponse::NoRoute => ("no-route", path.into()),
             CallResponse::Malformed(reason) => ("malformed", reason.clone()),
-            CallResponse::NotRun(not_run) => ("not-run", not_run.reason.to_string().into()),
+            CallResponse::NotRun(not_run) => {
+                self.take_up_refusal = match not_run.reason {
+                    NotRunReason::SoftwareGone => Some("version-gone"),
+                    NotRunReason::SoftwareUnknown => Some("version-unknown"),
+                    _ => None,
+                };
+                ("not-run", not_run.reason.to_string().into())
+            }
             CallResponse::TimedOut => ("late", Box::default()),
             CallResponse::Lost(reason) => ("lost", reason.clone()),
         };
@@ -121,6 +132,13 @@
             outcome,
         };
         self.metrics.requests.get_or_create(&labels).inc();
+        if !self.resumes.is_empty() {
+            let labels = RouteOutcomeLabels {
+                outcome: self.take_up_refusal.unwrap_or(outcome),
+                ..labels
+            };
+            self.metrics.take_ups.get_or_create(&labels).inc();
+        }
         let fingerprint = self.fingerprint.map(|f| format!("{f:016x}"));
         info!(self.log, "request"; "id" => %self.id, "route" => %self.route,
             "outcome" => outcome, "detail" => %detail, "waits_for" => waits_for,
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -10,6 +10,7 @@
 use crate::call::SendHistory;
 use crate::call::guard::RunGuard;
 use crate::call::sse::EventSplitter;
+use crate::control::ControlEvent;
 use crate::control::RunEnd;
 use crate::control::shared_state::SharedState;
 use crate::metrics;
@@ -48,6 +49,8 @@
     pub(super) exchange: Exchange,
     /// Ends the run when dropped; `None` between a run that broke off and the next one.
     pub(super) guard: Option<RunGuard>,
+    /// Version of the software of the engine that responds; `None` if it is not known.
+    pub(super) software: Option<SoftwareVersion>,
     /// Measurements of the stream.
     pub(super) stats: StreamStats,
 }
@@ -66,8 +69,8 @@
     longest_event_gap: Duration,
     /// Number of times that the stream was resumed on another engine.
     resume_count: u32,
-    /// Versions of the software of the engines that wrote the stream, in their order.
-    software: Vec<Box<str>>,
+    /// Version of the software of the engine that wrote the first relayed event.
+    software: Box<str>,
     /// Value of the `outcome` label in metrics.
     outcome: &'static str,
     /// Check of the end of the latest response.
@@ -94,7 +97,7 @@
             last_chunk_at: now,
             longest_event_gap: Duration::ZERO,
             resume_count: 0,
-            software: Vec::new(),
+            software: Box::default(),
             outcome: "caller-left",
             end_check,
             route: routed.route.name.clone(),
@@ -104,16 +107,6 @@
         }
     }
 
-    /// Adds the version of the software of the engine whose response follows.
-    pub(super) fn with_software(mut self, software: Option<SoftwareVersion>) -> Self {
-        self.add_software(software);
-        self
-    }
-
-    fn add_software(&mut self, software: Option<SoftwareVersion>) {
-        self.software.push(software.unwrap_or_default());
-    }
-
     fn on_chunk(&mut self, now: Instant) {
         if self.first_event_after.is_some() {
             let gap = now.saturating_duration_since(self.last_chunk_at);
@@ -161,7 +154,7 @@
         info!(self.log, "stream ended"; "id" => %self.id, "outcome" => self.outcome,
             "granted_ms" => millis(self.granted_after),
             "first_ms" => self.first_event_after.map(millis).unwrap_or(0),
-            "resumed" => self.resume_count, "software" => self.software.join(","), "pause_ms" => millis(self.longest_event_gap),
+            "resumed" => self.resume_count, "software" => %self.software, "pause_ms" => millis(self.longest_event_gap),
             "framing" => self.end_check.framing().as_str(),
             "inside_event" => self.end_check.is_inside_event(),
             "took_ms" => millis(duration));
@@ -257,18 +250,47 @@
         if whole.is_empty() {
             return Ok(None);
         }
+        if self.relay.stats.first_event_after.is_none() {
+            self.on_first_event();
+        }
         self.relay.stats.on_chunk(Instant::now());
         Ok(Some(whole))
     }
 
+    /// Binds the stream to the software version that writes its first relayed event, within this
+    /// response and for callers that take the stream up.
+    fn on_first_event(&mut self) {
+        let relay = &mut self.relay;
+        relay.history.software.clone_from(&relay.software);
+        relay.stats.software = relay.software.clone().unwrap_or_default();
+        if self.splitter.is_none() {
+            return;
+        }
+        let RoutedCall { call, service, .. } = &*relay.routed;
+        if let Some(software) = &relay.software {
+            let begun = ControlEvent::StreamBegun(call.stream_origin(service, software));
+            // The channel is unbounded and closes only while the process exits.
+            let _ = relay.handler.events.try_send(begun);
+        }
+    }
+
+    /// Returns whether another engine may go on with the stream: its software version is known, or
+    /// nothing of it has been relayed.
+    fn is_continuable(&self) -> bool {
+        let is_begun = self.relay.stats.first_event_after.is_some();
+        !is_begun || self.relay.history.software.is_some()
+    }
+
     /// Resumes the stream on another engine and returns `None`, or ends the
     /// stream and returns the error.
     async fn on_read_error(&mut self, error: BodyError) -> Option<BodyError> {
+        let is_continuable = self.is_continuable();
         let relay = &mut self.relay;
         if let Some(mut guard) = relay.guard.take() {
             guard.end = RunEnd::BrokenOff;
         }
         if let Some(splitter) = &mut self.splitter
+            && is_continuable
             && relay
                 .handler
                 .may_repeat_run(&relay.routed, &relay.history)
@@ -276,7 +298,8 @@
         {
             let (after, _) = (splitter.last_id(), splitter.take_partial());
             warn!(relay.handler.log, "resuming stream"; "id" => %relay.routed.call.id,
-                "after" => after, "cause" => %error);
+                "after" => after, "cause" => %error,
+                "software" => relay.history.software.as_deref().unwrap_or(""));
             let engine_response = relay
                 .handler
                 .run_on_engine(&relay.routed, &mut relay.history, after)
@@ -288,7 +311,7 @@
                 relay.exchange = engine_response.exchange;
                 relay.guard = Some(engine_response.guard);
                 relay.stats.resume_count += 1;
-                relay.stats.add_software(engine_response.software);
+                relay.software = engine_response.software;
                 return None;
             }
         }
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -8,11 +8,13 @@
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_serving::registry::ListedUpstream;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::StreamId;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Heartbeat;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::frame::ObservedRateLimit;
 use dogwoodshunt_wire::frame::RequestObservation;
+use dogwoodshunt_wire::frame::StreamOrigin;
 use dogwoodshunt_wire::frame::UpstreamConfig;
 use dogwoodshunt_wire::frame::UpstreamIdentity;
 use slog::info;
@@ -46,9 +48,22 @@
     HeartbeatTimeout,
 }
 
+/// What a heartbeat to an agent carries besides the state of this entry.
+#[derive(Default)]
+pub(super) struct Notices {
+    /// Observations of requests.
+    pub(super) requests: Vec<RequestObservation>,
+    /// Origins of streams that the agent is to remember.
+    pub(super) stream_origins: Vec<StreamOrigin>,
+    /// Streams whose origins the agent is asked for.
+    pub(super) asked_streams: Vec<StreamId>,
+}
+
 /// State of one agent and of the connection to it.
 pub(super) struct AgentState {
     address: SocketAddr,
+    /// The address as text, by which all entries know the agent.
+    address_text: Box<str>,
     pub(super) service: ServiceName,
     /// Engine of the agent; `None` while it is not in the list of upstreams.
     upstream: Option<ListedUpstream>,
@@ -75,6 +90,27 @@
     pub(super) fn is_connected(&self) -> bool {
         self.tx.is_some()
     }
+
+    pub(super) fn address_text(&self) -> &str {
+        &self.address_text
+    }
+
+    /// Returns whether the engine of the agent is listed.
+    pub(super) fn is_listed(&self) -> bool {
+        self.upstream.is_some()
+    }
+
+    /// Returns whether neither the agent nor its engine is leaving.
+    pub(super) fn is_staying(&self) -> bool {
+        !self.leaving && self.upstream.as_ref().is_some_and(|u| !u.leaving)
+    }
+
+    /// Returns the failure domain of the agent; empty until it has connected.
+    pub(super) fn domain(&self) -> &str {
+        self.identity
+            .as_ref()
+            .map_or("", |identity| &identity.domain)
+    }
 }
 
 impl<D: RecordDecoder> Control<D> {
@@ -101,6 +137,8 @@
                     .set_paused_until(agent, self.pauses.end(upstream));
                 let limit = self.rate_limits.limit(&upstream.name, upstream.started);
                 self.router.set_rate_limited(agent, limit.is_some());
+                self.router
+                    .set_software(agent, upstream.software_identity());
                 state.upstream = Some((*upstream).clone());
                 self.send_upstream_config(agent);
             }
@@ -136,6 +174,7 @@
         let agent = self.router.add_agent(address.to_string().into());
         let state = AgentState {
             address,
+            address_text: address.to_string().into(),
             service: service.clone(),
             upstream: None,
             identity: None,
@@ -154,9 +193,7 @@
 
     fn update_leaving_agents(&mut self) {
         for (agent, state) in &self.agents {
-            let is_staying = state.upstream.as_ref().is_some_and(|u| !u.leaving);
-            self.router
-                .set_leaving(*agent, !is_staying || state.leaving);
+            self.router.set_leaving(*agent, !state.is_staying());
         }
     }
 
@@ -181,7 +218,12 @@
         // An agent that has restarted learns the rate limit before it grants a run, and what it
         // has to tell entries that start later.
         let requests = self.request_quarantine.observations(now);
-        self.send_heartbeat(now, agent, requests);
+        let notices = Notices {
+            requests,
+            ..Notices::default()
+        };
+        self.send_heartbeat(now, agent, notices);
+        self.ask_for_awaited_streams(now, agent);
         self.resend_granted_runs(now, agent);
     }
 
@@ -284,6 +326,7 @@
         self.retry_budgets.set_entry_count(self.entries.count());
         self.on_engine_crashes(now, agent, &heartbeat.crashes);
         self.on_request_observations(now, &heartbeat.requests);
+        self.on_origins_answered(agent, heartbeat.stream_origins, &heartbeat.unknown_streams);
         if let Some(mut update) = heartbeat.report {
             if let (true, ReportUpdate::Full(report)) = (heartbeat.leaving, &mut update) {
                 // The agent admits no more requests, but its engine continues to
@@ -342,7 +385,7 @@
             due.push(*agent);
         }
         for agent in due {
-            self.send_heartbeat(now, agent, Vec::new());
+            self.send_heartbeat(now, agent, Notices::default());
         }
         for agent in timed_out {
             let upstream = self.engine_identity(agent).map(|listed| &*listed.name);
@@ -353,13 +396,8 @@
     }
 
     /// Sends an agent a heartbeat, with what is known of the rate limit of its engine and the
-    /// given observations of requests.
-    pub(super) fn send_heartbeat(
-        &mut self,
-        now: Instant,
-        agent: AgentKey,
-        requests: Vec<RequestObservation>,
-    ) {
+    /// given notices.
+    pub(super) fn send_heartbeat(&mut self, now: Instant, agent: AgentKey, notices: Notices) {
         let engine = self.engine_identity(agent);
         let rate_limit = engine.and_then(|engine| {
             let seen = self.rate_limits.get(&engine.name, engine.started)?;
@@ -379,7 +417,9 @@
             fresh: true,
             leaving: self.shutting_down,
             rate_limit,
-            requests,
+            requests: notices.requests,
+            stream_origins: notices.stream_origins,
+            asked_streams: notices.asked_streams,
             ..Heartbeat::default()
         };
         // A failed send is ignored: the connector reports the closed connection.
--- a/crates/dogwoodshunt_gateway/src/control/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/control/lost_requests.rs
@@ -4,6 +4,7 @@
 //! these pass it on to all entries.
 
 use crate::control::Control;
+use crate::control::agents::Notices;
 use crate::platform::RecordDecoder;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_types::NotRun;
@@ -64,7 +65,11 @@
             .collect();
         agents.sort_unstable_by(|a, b| b.cmp(a));
         for (_, agent) in agents.into_iter().take(RELAY_COUNT) {
-            self.send_heartbeat(now, agent, vec![seen.clone()]);
+            let notices = Notices {
+                requests: vec![seen.clone()],
+                ..Notices::default()
+            };
+            self.send_heartbeat(now, agent, notices);
         }
     }
 
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -5,7 +5,7 @@
 //! `store` applies the records of the
 //! platform's store, `placement` places model requests on engines, `announcements` and
 //! `rate_limits` apply what upstreams announce in their responses, `entries` keeps the number of
-//! entries, and `plain_service` selects upstreams of plain services, which have no engines.
+//! entries, `stream_origins` knows which software versions began streams, and `plain_service` selects upstreams of plain services, which have no engines.
 
 mod agents;
 mod announcements;
@@ -17,11 +17,14 @@
 mod rate_limits;
 pub mod shared_state;
 mod store;
+mod stream_origins;
 
 pub use crate::control::placement::Grant;
 pub use crate::control::placement::PlacementRequest;
 pub use crate::control::placement::RunEnd;
 pub use crate::control::plain_service::SelectedUpstream;
+pub use crate::control::stream_origins::KnownOrigin;
+pub use crate::control::stream_origins::OriginSender;
 
 use crate::connector::Connector;
 use crate::control::agents::AgentState;
@@ -52,17 +55,22 @@
 use dogwoodshunt_serving::UpstreamPool;
 use dogwoodshunt_serving::UpstreamRegistry;
 use dogwoodshunt_serving::pool::CallEnd;
+use dogwoodshunt_streams::Lookups;
+use dogwoodshunt_streams::StreamMemory;
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::StoreEra;
+use dogwoodshunt_types::StreamId;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Identity;
+use dogwoodshunt_wire::frame::StreamOrigin;
 use slog::Logger;
 use smol::Timer;
 use smol::future::FutureExt;
@@ -128,6 +136,15 @@
         /// Placement by which the run was granted.
         placement_id: PlacementId,
     },
+    /// A request takes a stream up, and the origin of the stream is needed.
+    FindOrigin {
+        /// The stream.
+        stream: StreamId,
+        /// Receives the origin.
+        reply_tx: OriginSender,
+    },
+    /// The first event of a stream that may be resumed is being relayed.
+    StreamBegun(StreamOrigin),
     /// A frame has arrived from an agent.
     Frame {
         /// Agent that sent the frame.
@@ -150,6 +167,8 @@
         fingerprint: RequestFingerprint,
         /// Upstreams to which the call has already been sent.
         excluded: Vec<UpstreamName>,
+        /// Version of the software that must run the call; `None` if any may.
+        software: Option<SoftwareVersion>,
         /// Receives the selected upstream, or the refusal if no other is available.
         reply_tx: Sender<Result<SelectedUpstream, NotRun>>,
     },
@@ -250,6 +269,8 @@
     quarantines: HashMap<ServiceName, PromptQuarantine>,
     /// Requests whose responses were lost.
     request_quarantine: RequestQuarantine,
+    stream_memory: StreamMemory,
+    stream_lookups: Lookups<AgentKey, OriginSender>,
     declared_versions: HashMap<AdapterName, AdapterRef>,
     /// Highest era of the store that a listing has shown.
     store_era: StoreEra,
@@ -289,6 +310,8 @@
             rate_limits: RateLimits::default(),
             quarantines: HashMap::new(),
             request_quarantine: RequestQuarantine::default(),
+            stream_memory: StreamMemory::default(),
+            stream_lookups: Lookups::default(),
             declared_versions: HashMap::new(),
             store_era: 0,
             config_era: 0,
@@ -352,6 +375,10 @@
                 self.on_placement_ended(now, placement_id, end)
             }
             ControlEvent::FirstByte { placement_id } => self.on_first_byte(now, placement_id),
+            ControlEvent::FindOrigin { stream, reply_tx } => {
+                self.on_find_origin(now, stream, reply_tx)
+            }
+            ControlEvent::StreamBegun(origin) => self.on_stream_begun(now, origin),
             ControlEvent::Frame { agent, frame } => self.on_frame(now, agent, frame),
             ControlEvent::StoreListed { topic, listing } => {
                 self.on_store_listed(now, topic, &listing)
@@ -360,11 +387,13 @@
                 service,
                 fingerprint,
                 excluded,
+                software,
                 reply_tx,
             } => {
                 let refusal = self.lost_request_refusal(now, fingerprint);
-                let selected =
-                    refusal.map_or_else(|| self.select_upstream(now, service, &excluded), Err);
+                let software = software.as_deref();
+                let select = || self.select_upstream(now, service, &excluded, software);
+                let selected = refusal.map_or_else(select, Err);
                 // The receiver is dropped if the caller has disconnected.
                 let _ = reply_tx.try_send(selected);
             }
@@ -420,6 +449,7 @@
             self.sync_upstreams(now);
         }
         self.signal_silent_agents(now);
+        self.expire_stream_lookups(now);
         if self.next_heartbeat_at <= now {
             self.next_heartbeat_at = now + self.settings.heartbeat_interval;
             self.send_heartbeats(now);
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -15,6 +15,7 @@
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::RouteRequest;
+use dogwoodshunt_serving::registry::ListedUpstream;
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::NotRun;
@@ -62,6 +63,8 @@
     pub adapter: Option<AdapterName>,
     /// Work that the request causes on an engine.
     pub demand: Demand,
+    /// Version of the engine's software that must run the request; `None` if any may.
+    pub software: Option<SoftwareVersion>,
     /// Time after which the first byte misses the latency objective of the route.
     pub slo_deadline: Instant,
     /// Time after which the first byte is of no use to the caller.
@@ -77,7 +80,7 @@
     pub address: SocketAddr,
     /// Start time of the upstream process.
     pub started: UnixMillis,
-    /// Version of the software of the upstream, as listed.
+    /// Version of the software of the upstream; `None` if it is not known.
     pub software: Option<SoftwareVersion>,
     /// Model or adapter version that is ready on the upstream.
     pub target: Target,
@@ -118,6 +121,12 @@
         self.excluded.len() as u64
     }
 
+    /// Returns whether an engine runs a version of its software that may run the request.
+    fn accepts(&self, engine: &ListedUpstream) -> bool {
+        let software = self.req.software.as_ref();
+        software.is_none_or(|software| engine.software_identity().as_ref() == Some(software))
+    }
+
     /// Records why an agent has declined the request.
     fn on_declined(&mut self, not_run: NotRun) {
         let is_shorter = self
@@ -220,6 +229,7 @@
                 deadline: Some(placement.req.useful_until),
                 excluded: &placement.excluded,
                 demand: &placement.req.demand,
+                software: placement.req.software.as_deref(),
             },
         );
         let agent = match routed {
@@ -270,7 +280,9 @@
         pending: PendingPlacement,
     ) {
         let agent = pending.agent;
-        let Some(engine) = self.engine_identity(agent).cloned() else {
+        let engine = self.engine_identity(agent);
+        let engine = engine.filter(|engine| pending.placement.accepts(engine));
+        let Some(engine) = engine.cloned() else {
             self.try_next_agent(now, placement_id, pending);
             return;
         };
@@ -278,12 +290,13 @@
         let target = pending.placement.target.clone();
         info!(self.context.log, "granted unattended"; "request" => %request,
             "upstream" => %engine.name, "target" => %target);
+        let software = engine.software_identity();
         self.start_run(now, placement_id, pending, |agent_silent| Grant {
             rate_limited: false,
             upstream: engine.name,
             address: engine.address,
             started: engine.started,
-            software: engine.software,
+            software,
             target,
             request,
             agent_silent,
@@ -340,13 +353,15 @@
         let Some(pending) = self.pending.remove(&placement_id) else {
             return;
         };
-        let Some(engine) = self.engine_identity(agent) else {
+        // Another engine may have taken the place of the one that was asked for.
+        let engine = self.engine_identity(agent);
+        let Some(engine) = engine.filter(|engine| pending.placement.accepts(engine)) else {
             self.send(agent, done_frame(request, RunEnd::Finished));
             self.try_next_agent(now, placement_id, pending);
             return;
         };
         let (address, started) = (engine.address, engine.started);
-        let software = engine.software.clone();
+        let software = engine.software_identity();
         let rate_limited = self
             .router
             .agent(agent)
--- a/crates/dogwoodshunt_gateway/src/control/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/control/plain_service.rs
@@ -9,6 +9,7 @@
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use std::collections::HashMap;
@@ -32,6 +33,8 @@
     pub address: SocketAddr,
     /// Start time of the upstream process.
     pub started: UnixMillis,
+    /// Version of the software of the upstream; `None` if it is not known.
+    pub software: Option<SoftwareVersion>,
     /// Whether the upstream is known to limit the requests of all entries together.
     pub rate_limited: bool,
 }
@@ -99,8 +102,8 @@
 }
 
 impl<D: RecordDecoder> Control<D> {
-    /// Selects an upstream of a plain service that is not in `excluded`. The
-    /// first selection for a call counts the call in the retry budget.
+    /// Selects an upstream of a plain service that is not in `excluded` and runs the version
+    /// `software`, if one is given. The first selection for a call counts the call in the retry budget.
     ///
     /// # Errors
     ///
@@ -111,6 +114,7 @@
         now: Instant,
         service: ServiceName,
         excluded: &[UpstreamName],
+        software: Option<&str>,
     ) -> Result<SelectedUpstream, NotRun> {
         if excluded.is_empty() {
             self.retry_budgets.on_request(&service);
@@ -118,17 +122,22 @@
         let none_available = NotRun::new(NotRunReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER);
         let pool = self.pools.get_mut(&service).ok_or(none_available)?;
         pool.set_place(self.entries.place());
-        match pool.pick(now, &self.settings.domain, excluded) {
+        match pool.pick(now, &self.settings.domain, excluded, software) {
             Ok((upstream, member)) => Ok(SelectedUpstream {
                 rate_limited: member.rate_limit.is_some(),
                 upstream,
                 address: member.address,
                 started: member.started,
+                software: member.software.clone(),
             }),
             Err(PickError::AllPaused { ends_in }) => {
                 Err(NotRun::new(NotRunReason::Paused, ends_in))
             }
             Err(PickError::NoUpstream) => Err(none_available),
+            Err(PickError::SoftwareGone) => Err(NotRun::new(
+                NotRunReason::SoftwareGone,
+                NO_UPSTREAM_RETRY_AFTER,
+            )),
         }
     }
 
--- a/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
+++ b/crates/dogwoodshunt_gateway/src/control/rate_limits.rs
@@ -8,6 +8,7 @@
 //! a request that was sent under it.
 
 use crate::control::Control;
+use crate::control::agents::Notices;
 use crate::platform::RecordDecoder;
 use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::UnixMillis;
@@ -95,7 +96,7 @@
         }
         if let Some(agent) = self.agent_of_engine(upstream, started) {
             self.router.set_rate_limited(agent, limit.is_some());
-            self.send_heartbeat(now, agent, Vec::new());
+            self.send_heartbeat(now, agent, Notices::default());
         }
     }
 }
--- a/crates/dogwoodshunt_gateway/src/metrics.rs
+++ b/crates/dogwoodshunt_gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     pub longest_event_gap_seconds: LatencyFamily,
     /// Streams ended, by outcome.
     pub streams: Family<RouteOutcomeLabels, Counter>,
+    /// Requests that take up a stream, by outcome.
+    pub take_ups: Family<RouteOutcomeLabels, Counter>,
     /// Sends to upstreams, by outcome.
     pub sends: Family<ServiceOutcomeLabels, Counter>,
     /// Retries requested, by decision of the retry budget.
@@ -100,6 +102,7 @@
             first_event_seconds: latencies(),
             longest_event_gap_seconds: latencies(),
             streams: Family::default(),
+            take_ups: Family::default(),
             sends: Family::default(),
             retries: Family::default(),
             store_requests: Family::default(),
@@ -112,6 +115,9 @@
         registry.register("requests", "Requests ended, by outcome", requests);
         let streams = registered.streams.clone();
         registry.register("streams", "Streams ended, by outcome", streams);
+        let take_ups = registered.take_ups.clone();
+        let help = "Requests that take up a stream, by outcome";
+        registry.register("take_ups", help, take_ups);
         let sends = registered.sends.clone();
         registry.register("upstream_sends", "Sends to upstreams, by outcome", sends);
         let retries = registered.retries.clone();
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -8,6 +8,7 @@
 mod records;
 mod restore;
 mod sse;
+mod stream_origins;
 
 use crate::control::Control;
 use crate::control::ControlContext;
@@ -63,7 +64,7 @@
 use std::time::Instant;
 
 /// Decodes records of the form `config NUMBER [other]`, `version ADAPTER@VERSION` and
-/// `upstream SERVICE HOST STATE`.
+/// `upstream SERVICE HOST STATE [STARTED SOFTWARE]`.
 struct TestDecoder;
 
 impl RecordDecoder for TestDecoder {
@@ -81,15 +82,20 @@
                 DecodedRecord::Config(Box::new(config))
             }
             ["version", adapter] => DecodedRecord::Version(AdapterRef::parse(adapter).unwrap()),
-            ["upstream", service, host, state] => DecodedRecord::Upstream(ListedUpstream {
-                name: self.upstream_name(&record.key),
-                service: service.into(),
-                address: SocketAddr::from(([127, 0, 0, host.parse().unwrap()], 80)),
-                domain: "a".into(),
-                started: 1,
-                software: None,
-                leaving: state == "leaving",
-            }),
+            ["upstream", service, host, state, ref software @ ..] => {
+                let started = software
+                    .first()
+                    .map_or(1, |started| started.parse().unwrap());
+                DecodedRecord::Upstream(ListedUpstream {
+                    name: self.upstream_name(&record.key),
+                    service: service.into(),
+                    address: SocketAddr::from(([127, 0, 0, host.parse().unwrap()], 80)),
+                    domain: "a".into(),
+                    started,
+                    software: software.get(1).map(|version| (*version).into()),
+                    leaving: state == "leaving",
+                })
+            }
             _ => DecodedRecord::Unreadable("unknown record type".into()),
         }
     }
@@ -248,6 +254,7 @@
             base_model: "base".into(),
             adapter: Some(adapter.into()),
             demand: Demand::default(),
+            software: None,
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
@@ -302,6 +309,7 @@
             service: "records".into(),
             fingerprint: 0,
             excluded: Vec::new(),
+            software: None,
             reply_tx,
         });
         selection_rx.try_recv().unwrap()
--- a/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
@@ -51,6 +51,7 @@
             service: "records".into(),
             fingerprint,
             excluded: Vec::new(),
+            software: None,
             reply_tx,
         });
         selection_rx.try_recv().unwrap()
--- a/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
@@ -29,6 +29,7 @@
                 parts: parts.collect(),
                 ..Demand::default()
             },
+            software: None,
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
--- a/crates/dogwoodshunt_load/src/scaling/cpu_time.rs
+++ b/crates/dogwoodshunt_load/src/scaling/cpu_time.rs
@@ -156,6 +156,7 @@
             deadline: None,
             excluded: &[],
             demand: &Demand::default(),
+            software: None,
         };
         if let Ok(agent) = router.route(now, &request) {
             router.on_attempt_end(agent, &target);
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -10,6 +10,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NodeId;
+use dogwoodshunt_types::SoftwareVersion;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -55,6 +56,8 @@
     /// Whether the agent accepts no new requests, as announced by the agent itself
     /// or listed by the platform.
     pub leaving: bool,
+    /// Version of the software of the engine of the agent; `None` if it is not known.
+    pub software: Option<SoftwareVersion>,
     /// Time until which the engine of the agent wants no requests from this entry.
     pub paused_until: Option<Instant>,
     /// Whether the engine of the agent is reachable although the agent is not.
@@ -87,6 +90,7 @@
             domain: FailureDomain::default(),
             usable: false,
             leaving: false,
+            software: None,
             paused_until: None,
             unattended: false,
             rate_limited: false,
@@ -256,6 +260,11 @@
         (self.usable || self.unattended) && !self.leaving
     }
 
+    /// Returns whether the engine runs the given version of its software; `None` stands for any.
+    pub fn runs_software(&self, software: Option<&str>) -> bool {
+        software.is_none_or(|software| self.software.as_deref() == Some(software))
+    }
+
     /// Returns whether the engine has asked for a pause that has not ended.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.paused_until.is_some_and(|until| until > now)
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -149,6 +149,8 @@
         | NotRunReason::CrashesEngines
         | NotRunReason::Deadline
         | NotRunReason::KeyValueServiceUnreachable
+        | NotRunReason::SoftwareGone
+        | NotRunReason::SoftwareUnknown
         | NotRunReason::Withdrawn => false,
     }
 }
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -21,6 +21,7 @@
 use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
 use dogwoodshunt_types::rendezvous;
@@ -49,6 +50,8 @@
     pub excluded: &'a [AgentKey],
     /// Prompt and output size of the request.
     pub demand: &'a Demand,
+    /// Version of the software that must run the request; `None` if any may.
+    pub software: Option<&'a str>,
 }
 
 /// State of all agents, and the decisions that an entry bases on it.
@@ -137,6 +140,13 @@
         }
     }
 
+    /// Sets the version of the software of the engine of the agent; `None` if it is not known.
+    pub fn set_software(&mut self, key: AgentKey, software: Option<SoftwareVersion>) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.software = software;
+        }
+    }
+
     /// Sets until when the engine of the agent wants no requests from this entry; `None` ends a
     /// pause, such as after a restart of the engine.
     pub fn set_paused_until(&mut self, key: AgentKey, until: Option<Instant>) {
@@ -261,6 +271,10 @@
     /// Returns the refusal of a request for which there is no eligible agent. If engines that
     /// could run it have asked for a pause, the caller may return when the first pause ends.
     fn no_agent_refusal(&self, now: Instant, req: &RouteRequest<'_>) -> NotRun {
+        let runs_software = |agent: &Agent| agent.runs_software(req.software) && !agent.leaving;
+        if req.software.is_some() && !self.agents.values().any(runs_software) {
+            return NotRun::new(NotRunReason::SoftwareGone, NO_AGENT_RETRY_AFTER);
+        }
         let able = self.agents.iter();
         let able = able.filter(|(key, agent)| self.can_run(*key, agent, req));
         let pause_ends = able.filter_map(|(_, agent)| agent.paused_until);
@@ -276,6 +290,7 @@
         is_admissible
             && agent.accepts_requests()
             && agent.serves(req.target)
+            && agent.runs_software(req.software)
             && !req.excluded.contains(&key)
     }
 
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -92,6 +92,7 @@
             deadline: None,
             excluded: &[],
             demand: &Demand::default(),
+            software: None,
         },
     )
 }
@@ -139,6 +140,7 @@
             deadline,
             excluded: &[],
             demand: &demand,
+            software: None,
         };
         router.route(now, &req)
     };
@@ -279,6 +281,7 @@
             deadline: Some(now + Duration::from_secs(1)),
             excluded: &[],
             demand: &Demand::default(),
+            software: None,
         },
     );
     let refused = refused.unwrap_err();
@@ -315,6 +318,7 @@
             deadline: None,
             excluded,
             demand: &Demand::default(),
+            software: None,
         };
         let key = router.route(now, &req).unwrap();
         router.on_attempt_end(key, &target);
@@ -330,3 +334,47 @@
     let found = (0..200).any(|_| route(&mut router, &[]) == idle);
     assert_eq!(found, is_found);
 }
+
+#[test]
+fn stream_is_routed_only_to_engines_of_its_software_version() {
+    let now = Instant::now();
+    let (mut router, keys) = router(now, &[report(0, &["a"]), report(0, &[]), report(9, &[])]);
+    for (key, software) in keys.iter().zip(["v1", "v2", "v2"]) {
+        router.set_software(*key, Some(software.into()));
+    }
+    let target = target("a");
+    let demand = Demand::default();
+    let route = |router: &mut Router, software, excluded: &[AgentKey]| {
+        let req = RouteRequest {
+            target: &target,
+            deadline: None,
+            excluded,
+            demand: &demand,
+            software: Some(software),
+        };
+        router.route(now, &req).map_err(|not_run| not_run.reason)
+    };
+    for _ in 0..20 {
+        let key = route(&mut router, "v2", &[]).unwrap();
+        assert!(keys[1..].contains(&key));
+    }
+    assert_eq!(route(&mut router, "v1", &[]), Ok(keys[0]));
+    // Its only engine may take it later.
+    let excluded = route(&mut router, "v1", &keys[..1]);
+    assert_eq!(excluded, Err(NotRunReason::NoUpstream));
+    assert_eq!(
+        route(&mut router, "v3", &[]),
+        Err(NotRunReason::SoftwareGone)
+    );
+    router.set_leaving(keys[0], true);
+    assert_eq!(
+        route(&mut router, "v1", &[]),
+        Err(NotRunReason::SoftwareGone)
+    );
+    router.set_software(keys[1], None);
+    router.set_software(keys[2], None);
+    assert_eq!(
+        route(&mut router, "v2", &[]),
+        Err(NotRunReason::SoftwareGone)
+    );
+}
--- a/crates/dogwoodshunt_serving/src/config.rs
+++ b/crates/dogwoodshunt_serving/src/config.rs
@@ -89,6 +89,12 @@
         None
     }
 
+    /// Returns whether requests of the route may be sent to `service`.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut services = self.weighted_services.iter();
+        services.any(|weighted| weighted.weight > 0 && *weighted.service == *service)
+    }
+
     /// Returns whether a request may be sent again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/crates/dogwoodshunt_serving/src/pool.rs
+++ b/crates/dogwoodshunt_serving/src/pool.rs
@@ -8,6 +8,7 @@
 use crate::registry::ListedUpstream;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::RateLimit;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use std::collections::BTreeMap;
@@ -39,6 +40,8 @@
     leaving: bool,
     /// Start time of the upstream process, which distinguishes restarts.
     pub started: UnixMillis,
+    /// Version of the software of the upstream; `None` if it is not known.
+    pub software: Option<SoftwareVersion>,
     /// Time until which the upstream wants no calls from this entry.
     paused_until: Option<Instant>,
     /// Limit that the upstream names for the calls of all entries together.
@@ -82,6 +85,8 @@
     },
     /// Every upstream is leaving or excluded, or there is none.
     NoUpstream,
+    /// No upstream that is not leaving runs the version of the software that must run the call.
+    SoftwareGone,
 }
 
 /// How a call to an upstream ended.
@@ -131,6 +136,7 @@
                 domain: listed.domain.clone(),
                 leaving: listed.leaving,
                 started: listed.started,
+                software: None,
                 paused_until,
                 rate_limit: None,
                 last_chosen_at: None,
@@ -145,6 +151,7 @@
             member.rate_limit = None;
         }
         member.started = listed.started;
+        member.software = listed.software_identity();
         member.paused_until = paused_until;
     }
 
@@ -191,8 +198,9 @@
     ///
     /// The upstream with the fewest calls in flight is chosen, where a failure rate
     /// and a different failure domain count as additional calls. Upstreams that are leaving,
-    /// have asked for a pause or are in `excluded` are never chosen, and those that name a rate
-    /// limit no more often than the share of this entry allows.
+    /// have asked for a pause or are in `excluded` are never chosen, nor are those of another version
+    /// than `software` if it is given, and those that name a rate limit no more often than the share
+    /// of this entry allows.
     ///
     /// # Errors
     ///
@@ -203,6 +211,7 @@
         now: Instant,
         domain: &str,
         excluded: &[UpstreamName],
+        software: Option<&str>,
     ) -> Result<(UpstreamName, &PoolMember), PickError> {
         let cost = |member: &PoolMember| {
             let domain_cost = if *member.domain == *domain {
@@ -214,11 +223,19 @@
                 + domain_cost
                 + FAILURE_RATE_COST * member.decayed_failure_rate(now)
         };
+        let runs_software = |member: &PoolMember| {
+            software.is_none_or(|software| member.software.as_deref() == Some(software))
+        };
+        let mut staying = self.members.values().filter(|member| !member.leaving);
+        if software.is_some() && !staying.any(runs_software) {
+            return Err(PickError::SoftwareGone);
+        }
         let place = self.place;
         let is_later = |at: Option<Instant>| at.is_some_and(|at| at > now);
         let candidates = self.members.iter_mut();
         let candidates =
             candidates.filter(|(name, member)| !member.leaving && !excluded.contains(name));
+        let candidates = candidates.filter(|(_, member)| runs_software(member));
         let (paused, ready): (Vec<_>, Vec<_>) =
             candidates.partition(|(name, member)| is_later(member.wanted_from(now, name, &place)));
         let cheapest = ready
--- a/crates/dogwoodshunt_serving/src/registry.rs
+++ b/crates/dogwoodshunt_serving/src/registry.rs
@@ -44,6 +44,18 @@
     pub leaving: bool,
 }
 
+impl ListedUpstream {
+    /// Returns what tells apart the software of upstreams whose streams do not fit together: the
+    /// version or, where none is listed, the process. Returns `None` if neither is known.
+    pub fn software_identity(&self) -> Option<SoftwareVersion> {
+        let process = || format!("process {} {}", self.name, self.started).into();
+        let is_process_known = self.started != 0;
+        self.software
+            .clone()
+            .or_else(|| is_process_known.then(process))
+    }
+}
+
 /// An upstream that is listed, or was listed before a store outage.
 #[derive(Clone, Debug)]
 struct KnownUpstream {
@@ -139,12 +151,19 @@
         let removed = self.removed.remove(&listed.name);
         let removed = removed.map(|removed| (removed.started, removed.leaving));
         let known = self.known.get(&listed.name);
-        let known = known.map(|known| (known.listed.started, known.listed.leaving));
         // A start time of 0 tells no process from its successor.
         let is_same_process = |started| started == listed.started && started != 0;
+        let is_contradicted = known.is_some_and(|known| {
+            is_same_process(known.listed.started) && known.listed.software != listed.software
+        });
+        let known = known.map(|known| (known.listed.started, known.listed.leaving));
         listed.leaving |= known
             .or(removed)
             .is_some_and(|(started, leaving)| leaving && is_same_process(started));
+        if is_contradicted {
+            // The software of a process does not change, so one of the records is wrong.
+            listed.software = None;
+        }
         let known = KnownUpstream {
             listed,
             expires_at: None,
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -181,7 +181,7 @@
     let now = Instant::now();
     let mut pool = pool(&["a", "b"]);
     let picks: Vec<_> = (0..4)
-        .map(|_| pool.pick(now, "a", &[]).unwrap().0)
+        .map(|_| pool.pick(now, "a", &[], None).unwrap().0)
         .collect();
     let in_own_domain = picks.iter().filter(|name| ***name == *"u0").count();
     assert_eq!(&*picks[0], "u0");
@@ -193,13 +193,13 @@
     let now = Instant::now();
     let mut pool = pool(&["a", "b"]);
     for _ in 0..6 {
-        let (name, _) = pool.pick(now, "a", &["u1".into()]).unwrap();
+        let (name, _) = pool.pick(now, "a", &["u1".into()], None).unwrap();
         pool.on_call_ended(now, &name, CallEnd::Failed);
     }
-    assert_eq!(&*pool.pick(now, "a", &[]).unwrap().0, "u1");
+    assert_eq!(&*pool.pick(now, "a", &[], None).unwrap().0, "u1");
     pool.on_call_ended(now, "u1", CallEnd::Answered);
     let later = now + Duration::from_secs(30);
-    assert_eq!(&*pool.pick(later, "a", &[]).unwrap().0, "u0");
+    assert_eq!(&*pool.pick(later, "a", &[], None).unwrap().0, "u0");
 }
 
 #[test]
@@ -211,7 +211,10 @@
         ..listed_upstream("u0")
     };
     pool.upsert(&listed, None);
-    assert_eq!(pool.pick(now, "a", &[]).err(), Some(PickError::NoUpstream));
+    assert_eq!(
+        pool.pick(now, "a", &[], None).err(),
+        Some(PickError::NoUpstream)
+    );
     assert!(pool.has_none_available());
 }
 
@@ -223,12 +226,12 @@
     pool.pause("u0", 1, until);
     pool.upsert(&listed_upstream("u0"), Some(until));
     for _ in 0..20 {
-        assert_eq!(&*pool.pick(now, "a", &[]).unwrap().0, "u1");
+        assert_eq!(&*pool.pick(now, "a", &[], None).unwrap().0, "u1");
     }
     let before_end = now + Duration::from_millis(4_999);
-    assert_eq!(&*pool.pick(before_end, "a", &[]).unwrap().0, "u1");
+    assert_eq!(&*pool.pick(before_end, "a", &[], None).unwrap().0, "u1");
     let after_end = now + Duration::from_secs(5);
-    assert_eq!(&*pool.pick(after_end, "a", &[]).unwrap().0, "u0");
+    assert_eq!(&*pool.pick(after_end, "a", &[], None).unwrap().0, "u0");
 }
 
 #[test]
@@ -239,7 +242,7 @@
     pool.pause("u1", 1, now + Duration::from_secs(3));
     let ends_in = Duration::from_secs(3);
     assert_eq!(
-        pool.pick(now, "a", &[]).err(),
+        pool.pick(now, "a", &[], None).err(),
         Some(PickError::AllPaused { ends_in })
     );
     // Callers come back after the pause, spread over some time.
@@ -260,10 +263,10 @@
         ..listed_upstream("u0")
     };
     pool.upsert(&restarted, None);
-    assert!(pool.pick(now, "a", &[]).is_ok());
+    assert!(pool.pick(now, "a", &[], None).is_ok());
     // A late answer of the process before does not pause its successor.
     pool.pause("u0", 1, now + Duration::from_secs(5));
-    assert!(pool.pick(now, "a", &[]).is_ok());
+    assert!(pool.pick(now, "a", &[], None).is_ok());
 
     let mut registry = UpstreamRegistry::default();
     registry.on_upstream_listed(listed_upstream("u0"));
@@ -376,3 +379,64 @@
     registry.on_upstream_listed(listed_upstream("u0"));
     assert!(registry.upstreams().next().unwrap().leaving);
 }
+
+#[test]
+fn streams_of_an_upstream_without_a_version_fit_only_those_of_the_same_process() {
+    let unnamed = listed_upstream("u1");
+    let restarted = ListedUpstream {
+        started: 2,
+        ..unnamed.clone()
+    };
+    let identity = unnamed.software_identity().unwrap();
+    assert_eq!(unnamed.clone().software_identity(), Some(identity.clone()));
+    assert_ne!(restarted.software_identity(), Some(identity));
+    let unknown_process = ListedUpstream {
+        started: 0,
+        ..unnamed
+    };
+    assert_eq!(unknown_process.software_identity(), None);
+}
+
+#[test]
+fn version_that_a_process_contradicts_is_not_used() {
+    let mut registry = UpstreamRegistry::default();
+    let listed = |software: Option<&str>, started| ListedUpstream {
+        software: software.map(Into::into),
+        started,
+        ..listed_upstream("u1")
+    };
+    let software = |registry: &UpstreamRegistry| {
+        let upstreams = registry.upstreams();
+        upstreams.map(|u| u.software.clone()).collect::<Vec<_>>()
+    };
+    registry.on_upstream_listed(listed(Some("v1"), 1));
+    assert_eq!(software(&registry), [Some("v1".into())]);
+    for contradiction in [Some("v2"), Some("v2"), Some("v1"), None] {
+        registry.on_upstream_listed(listed(contradiction, 1));
+        assert_eq!(software(&registry), [None]);
+    }
+    registry.on_upstream_listed(listed(Some("v2"), 2));
+    assert_eq!(software(&registry), [Some("v2".into())]);
+}
+
+#[test]
+fn call_that_continues_a_stream_goes_to_upstreams_of_its_software_version() {
+    let now = Instant::now();
+    let mut pool = UpstreamPool::default();
+    for (name, software) in [("u1", "v1"), ("u2", "v2"), ("u3", "v2")] {
+        let listed = ListedUpstream {
+            software: Some(software.into()),
+            ..listed_upstream(name)
+        };
+        pool.upsert(&listed, None);
+    }
+    for _ in 0..10 {
+        let (name, _) = pool.pick(now, "a", &[], Some("v2")).unwrap();
+        assert_ne!(&*name, "u1");
+    }
+    let excluded = ["u1".into()];
+    let none_left = pool.pick(now, "a", &excluded, Some("v1")).err();
+    assert_eq!(none_left, Some(PickError::NoUpstream));
+    let gone = pool.pick(now, "a", &[], Some("v3")).err();
+    assert_eq!(gone, Some(PickError::SoftwareGone));
+}
--- a/crates/dogwoodshunt_serving/src/tests/rate_limits.rs
+++ b/crates/dogwoodshunt_serving/src/tests/rate_limits.rs
@@ -41,7 +41,7 @@
 }
 
 fn call(pool: &mut UpstreamPool, now: Instant) -> Result<(), PickError> {
-    pool.pick(now, "a", &[])?;
+    pool.pick(now, "a", &[], None)?;
     pool.on_call_ended(now, "u0", CallEnd::Answered);
     Ok(())
 }
--- a/crates/dogwoodshunt_types/src/id.rs
+++ b/crates/dogwoodshunt_types/src/id.rs
@@ -1,5 +1,6 @@
 //! Identifiers of adapters, processes, upstreams, revisions and requests.
 
+use crate::rendezvous;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -46,6 +47,15 @@
 /// Identifies requests that are the same but for their ids.
 pub type RequestFingerprint = u64;
 
+/// Identifies a stream by the id of the caller's request that brought its first event.
+pub type StreamId = u64;
+
+/// Returns the id of the stream whose first event the response to the caller's request `request_id`
+/// has brought.
+pub fn stream_id(request_id: &str) -> StreamId {
+    rendezvous::hash(request_id.as_bytes(), 0)
+}
+
 /// Wall-clock time in milliseconds since the Unix epoch.
 pub type UnixMillis = u64;
 
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -77,6 +77,10 @@
     /// All upstreams that could run the request have asked for a pause or have reached their
     /// rate limits.
     Paused,
+    /// No upstream runs the software version that began the stream to be resumed.
+    SoftwareGone,
+    /// The software version that began the stream to be resumed is not known.
+    SoftwareUnknown,
     /// The node cannot confirm that its catalogue is still in force.
     Stale,
     /// The key-value service, which must record the request first, is unreachable.
@@ -97,6 +101,8 @@
             Self::NoUpstream => "no upstream is up that can run the request",
             Self::Overloaded => "the queue is full",
             Self::Paused => "all upstreams have asked for a pause or reached their rate limits",
+            Self::SoftwareGone => "no upstream runs the software version that began the stream",
+            Self::SoftwareUnknown => "the software version that began the stream is not known",
             Self::Stale => "the node cannot confirm that its catalogue is in force",
             Self::KeyValueServiceUnreachable => "the key-value service is not reachable",
             Self::Withdrawn => "the adapter version is not in force",
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -21,7 +21,10 @@
 use dogwoodshunt_types::RequestId;
 use dogwoodshunt_types::RequestOutcome;
 use dogwoodshunt_types::Revision;
+use dogwoodshunt_types::ServiceName;
+use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::StoreEra;
+use dogwoodshunt_types::StreamId;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use serde::Deserialize;
@@ -349,6 +352,16 @@
     /// about its rate limit.
     #[serde(default, rename = "t", skip_serializing_if = "Option::is_none")]
     pub rate_limit: Option<ObservedRateLimit>,
+    /// From an entry: origins of streams that the agent is to remember. From an agent: origins that
+    /// it was asked for.
+    #[serde(default, rename = "b", skip_serializing_if = "Vec::is_empty")]
+    pub stream_origins: Vec<StreamOrigin>,
+    /// From an entry: streams whose origins the agent is asked for.
+    #[serde(default, rename = "a", skip_serializing_if = "Vec::is_empty")]
+    pub asked_streams: Vec<StreamId>,
+    /// From an agent: streams that it was asked for and does not know.
+    #[serde(default, rename = "u", skip_serializing_if = "Vec::is_empty")]
+    pub unknown_streams: Vec<StreamId>,
     /// Number of entries connected to the sending agent; 0 from an entry.
     #[serde(default, rename = "x", skip_serializing_if = "is_default")]
     pub connected_entries: u32,
@@ -418,6 +431,20 @@
     pub age: Duration,
 }
 
+/// Software version that began a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// The stream.
+    #[serde(rename = "i")]
+    pub stream: StreamId,
+    /// Service of the upstream that brought the first event.
+    #[serde(rename = "s")]
+    pub service: ServiceName,
+    /// Version of the software of that upstream.
+    #[serde(rename = "v")]
+    pub software: SoftwareVersion,
+}
+
 /// State of an entry that is connected to an agent, as known to the agent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerState {
