Leave out engines that refuse connections, and try others

Cause: a send that reached nothing left no trace in placement. The agent's last report still showed the engine as sound, so the router chose it again, for this request and the next ones.

Change: a request is not placed again at an engine that it has not reached, and tries up to eight of them. A request that reached nothing is told so.

--- a/crates/dogwoodshunt_border/src/http/connection_pool.rs
+++ b/crates/dogwoodshunt_border/src/http/connection_pool.rs
@@ -59,11 +59,34 @@
     NotSent {
         /// Address of the peer.
         peer: SocketAddr,
+        /// What prevented the send.
+        cause: NotSentCause,
         /// Error of the network or the HTTP library.
         message: Box<str>,
     },
 }
 
+/// What prevented that a byte of a request was sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NotSentCause {
+    /// The connection failed or was closed.
+    Closed,
+    /// No process listens at the address of the peer.
+    Refused,
+    /// The connection was not open in time.
+    TimedOut,
+}
+
+impl From<std::io::ErrorKind> for NotSentCause {
+    fn from(kind: std::io::ErrorKind) -> Self {
+        match kind {
+            std::io::ErrorKind::ConnectionRefused => Self::Refused,
+            std::io::ErrorKind::TimedOut => Self::TimedOut,
+            _ => Self::Closed,
+        }
+    }
+}
+
 /// How the end of a response body is marked.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyFraming {
@@ -181,7 +204,12 @@
                 let message: Box<str> = send_error.error().to_string().into();
                 Err(match send_error.take_message() {
                     Some(req) => {
-                        let error = SendError::NotSent { peer, message };
+                        let cause = NotSentCause::Closed;
+                        let error = SendError::NotSent {
+                            peer,
+                            cause,
+                            message,
+                        };
                         AttemptError::NotSent(Box::new(req), error)
                     }
                     None => AttemptError::MaybeSent(SendError::Lost { peer, message }),
@@ -191,8 +219,9 @@
     }
 
     async fn connect(&self, peer: SocketAddr) -> Result<Connection, SendError> {
-        let not_sent = |message: String| SendError::NotSent {
+        let not_sent = |cause, message: String| SendError::NotSent {
             peer,
+            cause,
             message: message.into(),
         };
         let timed_out = async {
@@ -204,11 +233,12 @@
         // receive requests are pruned here.
         self.close_expired(Instant::now());
         let stream = TcpStream::connect(peer).or(timed_out).await;
-        let stream = stream.map_err(|error| not_sent(error.to_string()))?;
+        let stream = stream.map_err(|error| not_sent(error.kind().into(), error.to_string()))?;
         // Nagle's algorithm would delay the request.
         let _ = stream.set_nodelay(true);
         let handshake = http1::handshake(FuturesIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
+        let (sender, connection) =
+            handshake.map_err(|error| not_sent(NotSentCause::Closed, error.to_string()))?;
         let connection_task = async move {
             // `hyper` also reports a connection error to the request in flight.
             let _ = connection.await;
--- a/crates/dogwoodshunt_entry/src/api/response.rs
+++ b/crates/dogwoodshunt_entry/src/api/response.rs
@@ -106,6 +106,7 @@
             | NotRunReason::KeyValueServiceUnreachable
             | NotRunReason::SoftwareGone
             | NotRunReason::SoftwareUnknown
+            | NotRunReason::Unreachable
             | NotRunReason::Stale => StatusCode::SERVICE_UNAVAILABLE,
         };
         let text = format!("the request was not run: {}", not_run.reason);
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -61,9 +61,9 @@
 const EXIT_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Number of sends of one request that reached no upstream after which the
-/// request fails. Such sends use no retry budget, since no upstream receives
-/// them.
-const MAX_UNREACHED_SENDS: u32 = 3;
+/// request fails, each at another upstream. Such sends use no retry budget, since no
+/// upstream receives them.
+const MAX_UNREACHED_SENDS: u32 = 8;
 
 /// Results of the sends of one request so far.
 #[derive(Clone, Debug, Default)]
@@ -72,6 +72,8 @@
     sent: u32,
     /// Sends of which nothing reached an upstream.
     unreached: u32,
+    /// Engines that the request has not reached, which are not selected for it again.
+    excluded: Vec<UpstreamName>,
     /// Why the response to a send that may have run was lost; `None` if no such
     /// send has occurred.
     lost_response_reason: Option<Box<str>>,
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -21,8 +21,10 @@
 use crate::platform::UpstreamClient;
 use crate::platform::UpstreamResponse;
 use dogwoodshunt_border::http::Exchange;
+use dogwoodshunt_border::http::connection_pool::NotSentCause;
 use dogwoodshunt_border::http::connection_pool::SendError;
 use dogwoodshunt_residency::Target;
+use dogwoodshunt_routing::UnreachedCause;
 use dogwoodshunt_serving::admission;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
@@ -72,7 +74,7 @@
     /// The request may have run; the response was lost.
     MayHaveRun(Box<str>),
     /// Nothing reached the upstream.
-    Unreached(Box<str>),
+    Unreached(UnreachedCause, Box<str>),
 }
 
 impl<U: UpstreamClient> CallHandler<U> {
@@ -132,7 +134,7 @@
             let mut guard = RunGuard::new(placement_id, self.events.clone());
             let useful_wait = self.useful_wait(routed, history);
             let grant_result = self
-                .request_grant(routed, placement_id, useful_wait, &history.software)
+                .request_grant(routed, placement_id, useful_wait, history)
                 .await;
             let granted_at = Instant::now();
             let grant = grant_result
@@ -179,11 +181,13 @@
     ) -> Option<CallResponse> {
         let not_run = NotRun::new(NotRunReason::Overloaded, REFUSED_RETRY_AFTER);
         match failure {
-            SendFailure::Unreached(reason) => {
+            SendFailure::Unreached(cause, reason) => {
                 warn!(self.log, "engine not reached"; "id" => %routed.call.id,
-                    "upstream" => %grant.upstream, "error" => %reason);
+                    "upstream" => %grant.upstream, "cause" => cause.as_str(), "error" => %reason);
                 history.unreached += 1;
+                history.excluded.push(grant.upstream.clone());
                 let should_retry = history.unreached < MAX_UNREACHED_SENDS;
+                let not_run = NotRun::new(NotRunReason::Unreachable, REFUSED_RETRY_AFTER);
                 (!should_retry).then(|| history.refuse(not_run, Duration::ZERO))
             }
             SendFailure::Refused => {
@@ -224,7 +228,7 @@
         routed: &RoutedCall,
         placement_id: u64,
         useful_wait: Duration,
-        software: &Option<SoftwareVersion>,
+        history: &SendHistory,
     ) -> Result<Grant, NotRun> {
         let shutdown_refusal = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY_AFTER);
         let Some(model) = &routed.call.model else {
@@ -240,7 +244,8 @@
             base_model: model.base_model.clone(),
             adapter: model.adapter.clone(),
             demand,
-            software: software.clone(),
+            software: history.software.clone(),
+            excluded: history.excluded.clone(),
             slo_deadline: routed.call.arrived + routed.route.latency_objective,
             useful_until,
         };
@@ -293,8 +298,10 @@
         };
         let (outcome, result) = match sent.or(timeout).or(silent).await {
             Err((outcome, failure)) => (outcome, Err(failure)),
-            Ok(Err(SendError::NotSent { message, .. })) => {
-                ("unreached", Err(SendFailure::Unreached(message)))
+            Ok(Err(SendError::NotSent { cause, message, .. })) => {
+                let cause = unreached_cause(cause);
+                guard.end = RunEnd::Unreached(cause);
+                ("unreached", Err(SendFailure::Unreached(cause, message)))
             }
             Ok(Err(SendError::Lost { message, .. })) => {
                 guard.end = RunEnd::BrokenOff;
@@ -350,7 +357,10 @@
 ) -> Result<Exchange, SendFailure> {
     match upstream_response.execution_status {
         ExecutionStatus::Executed => Ok(upstream_response.exchange),
-        ExecutionStatus::RefusedFull => Err(SendFailure::Refused),
+        ExecutionStatus::RefusedFull => {
+            guard.end = RunEnd::Refused;
+            Err(SendFailure::Refused)
+        }
         ExecutionStatus::Misdirected => {
             guard.end = RunEnd::AdapterMissing;
             Err(SendFailure::Refused)
@@ -362,6 +372,14 @@
     }
 }
 
+fn unreached_cause(cause: NotSentCause) -> UnreachedCause {
+    match cause {
+        NotSentCause::Closed => UnreachedCause::Closed,
+        NotSentCause::Refused => UnreachedCause::Refused,
+        NotSentCause::TimedOut => UnreachedCause::TimedOut,
+    }
+}
+
 fn adapter_version(target: &Target) -> Option<Version> {
     target.adapter().map(|adapter| adapter.version.clone())
 }
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -78,6 +78,7 @@
     ) -> CallResponse {
         let mut excluded: Vec<UpstreamName> = Vec::new();
         let mut last_failure: Option<CallResponse> = None;
+        let mut refusal = NotRunReason::Overloaded;
         loop {
             history.stage = Stage::Placement;
             let selected = self.select_upstream(routed, &excluded, history).await;
@@ -102,10 +103,12 @@
             let should_retry = match outcome {
                 SendOutcome::Unreached(_) => {
                     history.unreached += 1;
+                    refusal = NotRunReason::Unreachable;
                     history.unreached < MAX_UNREACHED_SENDS
                 }
                 SendOutcome::Refused => {
                     history.sent += 1;
+                    refusal = NotRunReason::Overloaded;
                     self.may_resend(routed, history).await
                 }
                 SendOutcome::BrokenOff(reason) | SendOutcome::Foreign(reason) => {
@@ -140,7 +143,7 @@
                 }
             };
             if !should_retry {
-                let not_run = NotRun::new(NotRunReason::Overloaded, REFUSED_RETRY_AFTER);
+                let not_run = NotRun::new(refusal, REFUSED_RETRY_AFTER);
                 return last_failure.unwrap_or_else(|| refusal_response(not_run, Duration::ZERO));
             }
         }
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -95,6 +95,11 @@
         &self.address_text
     }
 
+    /// Returns the name of the listed engine of the agent.
+    pub(super) fn engine_name(&self) -> Option<&str> {
+        self.upstream.as_ref().map(|upstream| &*upstream.name)
+    }
+
     /// Returns whether the engine of the agent is listed.
     pub(super) fn is_listed(&self) -> bool {
         self.upstream.is_some()
@@ -139,6 +144,12 @@
                 self.router.set_rate_limited(agent, limit.is_some());
                 self.router
                     .set_software(agent, upstream.software_identity());
+                let is_same_process = |known: &ListedUpstream| {
+                    (&known.name, known.started) == (&upstream.name, upstream.started)
+                };
+                if !state.upstream.as_ref().is_some_and(is_same_process) {
+                    self.router.forget_unreached(agent);
+                }
                 state.upstream = Some((*upstream).clone());
                 self.send_upstream_config(agent);
             }
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -3,7 +3,7 @@
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
 //! engines, `quarantine` refuses prompts that crash engines, `lost_requests` requests that crash upstreams,
 //! `store` applies the records of the
-//! platform's store, `placement` places model requests on engines, `announcements` and
+//! platform's store, `placement` places model requests on engines, `reachability` leaves out engines that are not reached, `announcements` and
 //! `rate_limits` apply what upstreams announce in their responses, `entries` keeps the number of
 //! entries, `stream_origins` knows which software versions began streams, and `plain_service` selects upstreams of plain services, which have no engines.
 
@@ -15,6 +15,7 @@
 mod plain_service;
 mod quarantine;
 mod rate_limits;
+mod reachability;
 pub mod shared_state;
 mod store;
 mod stream_origins;
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -15,6 +15,7 @@
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::RouteRequest;
+use dogwoodshunt_routing::UnreachedCause;
 use dogwoodshunt_serving::registry::ListedUpstream;
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::AdapterRef;
@@ -65,6 +66,8 @@
     pub demand: Demand,
     /// Version of the engine's software that must run the request; `None` if any may.
     pub software: Option<SoftwareVersion>,
+    /// Engines that the request has not reached.
+    pub excluded: Vec<UpstreamName>,
     /// Time after which the first byte misses the latency objective of the route.
     pub slo_deadline: Instant,
     /// Time after which the first byte is of no use to the caller.
@@ -103,24 +106,26 @@
     BrokenOff,
     /// The run is over in any other way.
     Finished,
+    /// The upstream has refused the request without running it.
+    Refused,
+    /// The request has not reached the upstream.
+    Unreached(UnreachedCause),
 }
 
 /// A model request that is being placed; agents are asked one after another.
 struct Placement {
     req: PlacementRequest,
     target: Target,
-    /// Agents that have been asked before and are not asked again.
+    /// Agents that have been asked before or whose engines the request has not reached.
     excluded: Vec<AgentKey>,
+    /// Number of agents that have been asked before.
+    attempt: u64,
     /// Of the refusals of overloaded agents, the one with the shortest wait.
     shortest_overload: Option<NotRun>,
     reply_tx: Sender<Result<Grant, NotRun>>,
 }
 
 impl Placement {
-    fn attempt(&self) -> u64 {
-        self.excluded.len() as u64
-    }
-
     /// Returns whether an engine runs a version of its software that may run the request.
     fn accepts(&self, engine: &ListedUpstream) -> bool {
         let software = self.req.software.as_ref();
@@ -176,6 +181,21 @@
     agent_silent: Sender<()>,
 }
 
+impl GrantedRun {
+    pub(super) fn agent(&self) -> AgentKey {
+        self.agent
+    }
+
+    pub(super) fn upstream_name(&self) -> &str {
+        &self.upstream.name
+    }
+
+    /// Returns whether the run was granted on the listed process.
+    pub(super) fn is_at(&self, engine: &ListedUpstream) -> bool {
+        self.upstream.name == engine.name && self.upstream.started == engine.started
+    }
+}
+
 impl<D: RecordDecoder> Control<D> {
     pub(super) fn on_place(
         &mut self,
@@ -192,8 +212,9 @@
         }
         let placement = Placement {
             target: self.target_of(&req),
+            excluded: self.agents_of(&req.excluded),
             req,
-            excluded: Vec::new(),
+            attempt: 0,
             shortest_overload: None,
             reply_tx,
         };
@@ -216,7 +237,7 @@
     /// Asks the agent that the router selects to admit the request; refuses the
     /// request if no agent is left to ask.
     fn request_admission(&mut self, now: Instant, placement_id: PlacementId, placement: Placement) {
-        if placement.attempt() >= MAX_ADMISSION_ATTEMPTS {
+        if placement.attempt >= MAX_ADMISSION_ATTEMPTS {
             let overloaded = NotRun::new(NotRunReason::Overloaded, NO_AGENT_RETRY_AFTER);
             let not_run = placement.shortest_overload.unwrap_or(overloaded);
             placement.refuse(not_run);
@@ -250,7 +271,7 @@
         }
         let req = &pending.placement.req;
         let admit = Admit {
-            request: self.request_id(placement_id, pending.placement.attempt()),
+            request: self.request_id(placement_id, pending.placement.attempt),
             target: pending.placement.target.clone(),
             demand: req.demand.clone(),
             due_in: req.slo_deadline.saturating_duration_since(now),
@@ -286,7 +307,7 @@
             self.try_next_agent(now, placement_id, pending);
             return;
         };
-        let request = self.request_id(placement_id, pending.placement.attempt());
+        let request = self.request_id(placement_id, pending.placement.attempt);
         let target = pending.placement.target.clone();
         info!(self.context.log, "granted unattended"; "request" => %request,
             "upstream" => %engine.name, "target" => %target);
@@ -418,7 +439,7 @@
         } = pending;
         let waited = now.saturating_duration_since(*sent_at);
         info!(self.context.log, "not granted"; "id" => %placement.req.id,
-            "request" => %self.request_id(placement_id, placement.attempt()), "why" => reason,
+            "request" => %self.request_id(placement_id, placement.attempt), "why" => reason,
             "agent" => self.agent_address(*agent), "waited_ms" => waited.as_millis() as u64);
     }
 
@@ -427,7 +448,7 @@
     fn is_pending_at(&self, placement_id: PlacementId, agent: AgentKey, attempt: u64) -> bool {
         let current = self.pending.get(&placement_id);
         current
-            .is_some_and(|pending| pending.agent == agent && pending.placement.attempt() == attempt)
+            .is_some_and(|pending| pending.agent == agent && pending.placement.attempt == attempt)
     }
 
     fn try_next_agent(
@@ -443,6 +464,7 @@
         } = pending;
         self.router.on_attempt_end(agent, &placement.target);
         placement.excluded.push(agent);
+        placement.attempt += 1;
         placement.target = self.target_of(&placement.req);
         self.request_admission(now, placement_id, placement);
     }
@@ -464,7 +486,7 @@
         for placement_id in self.pending_at(agent) {
             if let Some(pending) = self.pending.remove(&placement_id) {
                 self.log_not_granted(now, placement_id, &pending, "engine wants no requests");
-                let request = self.request_id(placement_id, pending.placement.attempt());
+                let request = self.request_id(placement_id, pending.placement.attempt);
                 self.send(agent, Frame::Cancel { request });
                 self.try_next_agent(now, placement_id, pending);
             }
@@ -486,7 +508,7 @@
                 self.log_not_granted(now, placement_id, &pending, &not_run.reason.to_string());
                 self.router
                     .on_attempt_end(pending.agent, &pending.placement.target);
-                let request = self.request_id(placement_id, pending.placement.attempt());
+                let request = self.request_id(placement_id, pending.placement.attempt);
                 self.send(pending.agent, Frame::Cancel { request });
                 pending.placement.refuse(not_run);
             }
@@ -532,10 +554,11 @@
 
     pub(super) fn on_first_byte(&mut self, now: Instant, placement_id: PlacementId) {
         if let Some(run) = self.granted_runs.get(&placement_id) {
-            let request = run.request;
-            self.send(run.agent, Frame::FirstByte { request });
+            let (request, agent) = (run.request, run.agent);
+            self.send(agent, Frame::FirstByte { request });
             let quarantine = self.quarantines.entry(run.service.clone()).or_default();
             quarantine.on_answer(now, run.demand.shared_parts());
+            self.on_engine_reached(agent);
         }
     }
 
@@ -554,8 +577,12 @@
                     let UpstreamProcess { name, started } = &run.upstream;
                     self.on_request_lost(now, run.fingerprint, name, *started);
                 }
-                RunEnd::AdapterMissing | RunEnd::Finished => {}
+                RunEnd::AdapterMissing
+                | RunEnd::Finished
+                | RunEnd::Refused
+                | RunEnd::Unreached(_) => {}
             }
+            self.on_reachability(now, &run, end);
             let missing = run
                 .target
                 .adapter()
@@ -576,7 +603,7 @@
             );
             self.router
                 .on_attempt_end(pending.agent, &pending.placement.target);
-            let request = self.request_id(placement_id, pending.placement.attempt());
+            let request = self.request_id(placement_id, pending.placement.attempt);
             self.send(pending.agent, Frame::Cancel { request });
         }
     }
--- a/crates/dogwoodshunt_gateway/src/metrics.rs
+++ b/crates/dogwoodshunt_gateway/src/metrics.rs
@@ -77,6 +77,8 @@
     pub take_ups: Family<RouteOutcomeLabels, Counter>,
     /// Sends to upstreams, by outcome.
     pub sends: Family<ServiceOutcomeLabels, Counter>,
+    /// Times that an engine was left out as it was not reached, by cause, or taken back.
+    pub left_out_engines: Family<ServiceOutcomeLabels, Counter>,
     /// Retries requested, by decision of the retry budget.
     pub retries: Family<ServiceOutcomeLabels, Counter>,
     /// Requests to the platform's store, by outcome.
@@ -104,6 +106,7 @@
             streams: Family::default(),
             take_ups: Family::default(),
             sends: Family::default(),
+            left_out_engines: Family::default(),
             retries: Family::default(),
             store_requests: Family::default(),
             config_revision: Gauge::default(),
@@ -120,6 +123,9 @@
         registry.register("take_ups", help, take_ups);
         let sends = registered.sends.clone();
         registry.register("upstream_sends", "Sends to upstreams, by outcome", sends);
+        let left_out = registered.left_out_engines.clone();
+        let help = "Engines left out as they were not reached, by cause, or taken back";
+        registry.register("left_out_engines", help, left_out);
         let retries = registered.retries.clone();
         registry.register("retries", "Retries asked for, by decision", retries);
         let store_requests = registered.store_requests.clone();
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -255,6 +255,7 @@
             adapter: Some(adapter.into()),
             demand: Demand::default(),
             software: None,
+            excluded: Vec::new(),
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
--- a/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
@@ -59,6 +59,7 @@
             adapter: Some("a".into()),
             demand: Demand::default(),
             software: Some(software.into()),
+            excluded: Vec::new(),
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -1,5 +1,6 @@
 //! State that an entry keeps for each agent.
 
+use crate::reachability::Reachability;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::PrefixIndex;
 use dogwoodshunt_residency::Report;
@@ -58,6 +59,8 @@
     pub leaving: bool,
     /// Version of the software of the engine of the agent; `None` if it is not known.
     pub software: Option<SoftwareVersion>,
+    /// Whether requests of this entry reach the engine.
+    pub reachability: Reachability,
     /// Time until which the engine of the agent wants no requests from this entry.
     pub paused_until: Option<Instant>,
     /// Whether the engine of the agent is reachable although the agent is not.
@@ -91,6 +94,7 @@
             usable: false,
             leaving: false,
             software: None,
+            reachability: Reachability::default(),
             paused_until: None,
             unattended: false,
             rate_limited: false,
--- a/crates/dogwoodshunt_routing/src/lib.rs
+++ b/crates/dogwoodshunt_routing/src/lib.rs
@@ -10,14 +10,15 @@
 //! The crate does no I/O and reads no clock; it neither sends requests nor loads
 //! adapters.
 //!
-//! Read [`settings`], [`agent`], [`adapter_index`], [`cost`] and [`router`] for
-//! the choice of an agent, then [`attempt`] and [`retry`] for the handling of
+//! Read [`settings`], [`agent`], [`adapter_index`], [`reachability`], [`cost`] and
+//! [`router`] for the choice of an agent, then [`attempt`] and [`retry`] for the handling of
 //! failures.
 
 pub mod adapter_index;
 pub mod agent;
 pub mod attempt;
 pub mod cost;
+pub mod reachability;
 pub mod retry;
 pub mod router;
 pub mod settings;
@@ -27,6 +28,7 @@
 
 pub use crate::agent::AgentKey;
 pub use crate::attempt::Attempt;
+pub use crate::reachability::UnreachedCause;
 pub use crate::router::RouteRequest;
 pub use crate::router::Router;
 pub use crate::settings::Policy;
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -144,7 +144,8 @@
         | NotRunReason::NoUpstream
         | NotRunReason::Overloaded
         | NotRunReason::Paused
-        | NotRunReason::Stale => true,
+        | NotRunReason::Stale
+        | NotRunReason::Unreachable => true,
         NotRunReason::Cancelled
         | NotRunReason::CrashesEngines
         | NotRunReason::Deadline
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -5,6 +5,8 @@
 use crate::agent::AgentKey;
 use crate::agent::Presence;
 use crate::cost;
+use crate::reachability::Reachability;
+use crate::reachability::UnreachedCause;
 use crate::retry;
 use crate::retry::AttemptFailure;
 use crate::retry::RetryBudget;
@@ -170,6 +172,27 @@
         }
     }
 
+    /// Records that a request of this entry has not reached the engine of the agent. Returns whether
+    /// the engine is left out from now on and was not before.
+    pub fn on_unreached(&mut self, now: Instant, key: AgentKey, cause: UnreachedCause) -> bool {
+        let agent = self.agents.get_mut(key);
+        agent.is_some_and(|agent| agent.reachability.on_unreached(now, cause))
+    }
+
+    /// Records a response of the engine of the agent. Returns whether the engine was left out.
+    pub fn on_reached(&mut self, key: AgentKey) -> bool {
+        let agent = self.agents.get_mut(key);
+        agent.is_some_and(|agent| agent.reachability.on_reached())
+    }
+
+    /// Forgets what is known of the reachability of the engine of the agent, since another process
+    /// has taken its place.
+    pub fn forget_unreached(&mut self, key: AgentKey) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.reachability = Reachability::default();
+        }
+    }
+
     /// Marks `adapter` as missing on the engine of the agent, although the latest
     /// report lists the adapter as ready.
     pub fn mark_adapter_missing(&mut self, key: AgentKey, adapter: &AdapterRef) {
@@ -226,6 +249,7 @@
         if !accepts_requests {
             return Err(NotRun::new(NotRunReason::Leaving, NO_AGENT_RETRY_AFTER));
         }
+        agent.reachability.on_send(now);
         agent.begin_attempt(req.target);
         agent.record_prompt(now, req.target, req.demand);
         if let Some(adapter) = req.target.adapter() {
@@ -269,35 +293,53 @@
     }
 
     /// Returns the refusal of a request for which there is no eligible agent. If engines that
-    /// could run it have asked for a pause, the caller may return when the first pause ends.
+    /// could run it have asked for a pause or could not be reached, the caller may return when the
+    /// first of them is tried again.
     fn no_agent_refusal(&self, now: Instant, req: &RouteRequest<'_>) -> NotRun {
         let runs_software = |agent: &Agent| agent.runs_software(req.software) && !agent.leaving;
         if req.software.is_some() && !self.agents.values().any(runs_software) {
             return NotRun::new(NotRunReason::SoftwareGone, NO_AGENT_RETRY_AFTER);
         }
         let able = self.agents.iter();
-        let able = able.filter(|(key, agent)| self.can_run(*key, agent, req));
-        let pause_ends = able.filter_map(|(_, agent)| agent.paused_until);
-        match pause_ends.filter(|until| *until > now).min() {
-            Some(until) => NotRun::new(NotRunReason::Paused, until.saturating_duration_since(now)),
+        let able = able.filter(|(_, agent)| Self::is_able(agent, req));
+        let trials = able.filter_map(|(key, agent)| {
+            let paused_until = agent.paused_until.filter(|_| !req.excluded.contains(&key));
+            let pause = paused_until.map(|end| (end, NotRunReason::Paused));
+            let left_out = agent.reachability.next_trial_at();
+            let left_out = left_out.map(|end| (end, NotRunReason::Unreachable));
+            let ends = pause.into_iter().chain(left_out);
+            ends.max_by_key(|(end, _)| *end)
+        });
+        let first = trials
+            .filter(|(end, _)| *end > now)
+            .min_by_key(|(end, _)| *end);
+        match first {
+            Some((end, reason)) => NotRun::new(reason, end.saturating_duration_since(now)),
             None => NotRun::new(NotRunReason::NoUpstream, NO_AGENT_RETRY_AFTER),
         }
     }
 
     /// Returns whether the agent can run `req`, apart from a pause, and is not excluded.
     fn can_run(&self, key: AgentKey, agent: &Agent, req: &RouteRequest<'_>) -> bool {
+        Self::is_able(agent, req) && !req.excluded.contains(&key)
+    }
+
+    /// Returns whether the agent can run `req`, apart from a pause.
+    fn is_able(agent: &Agent, req: &RouteRequest<'_>) -> bool {
         let is_admissible = !agent.unattended || agent.accepts_unattended(req.target);
         is_admissible
             && agent.accepts_requests()
             && agent.serves(req.target)
             && agent.runs_software(req.software)
-            && !req.excluded.contains(&key)
     }
 
     /// Returns whether the agent can run `req` now and is not excluded.
     fn is_eligible(&self, now: Instant, key: AgentKey, req: &RouteRequest<'_>) -> bool {
         let agent = self.agents.get(key);
-        agent.is_some_and(|agent| !agent.is_paused(now) && self.can_run(key, agent, req))
+        agent.is_some_and(|agent| {
+            let takes_requests = !agent.is_paused(now) && !agent.reachability.is_left_out(now);
+            takes_requests && self.can_run(key, agent, req)
+        })
     }
 
     fn eligible<'a>(
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -27,6 +27,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+mod reachability;
+
 fn adapter(name: &str) -> AdapterRef {
     AdapterRef::new(name, "1")
 }
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -86,6 +86,8 @@
     /// The key-value service, which must record the request first, is unreachable.
     #[serde(rename = "ServiceOut")]
     KeyValueServiceUnreachable,
+    /// No upstream that could run the request could be reached.
+    Unreachable,
     /// The adapter version is not in force on the node.
     Withdrawn,
 }
@@ -105,6 +107,7 @@
             Self::SoftwareUnknown => "the software version that began the stream is not known",
             Self::Stale => "the node cannot confirm that its catalogue is in force",
             Self::KeyValueServiceUnreachable => "the key-value service is not reachable",
+            Self::Unreachable => "no upstream that could run the request could be reached",
             Self::Withdrawn => "the adapter version is not in force",
         })
     }
