Take a refusal only for the request that it belongs to

Another operator's callers were told "not run, try again" for requests that ran, after a faulty upstream had written an earlier refusal once more on a kept connection. It could happen here: a 421, or any response with Not-Executed, was taken for true when it bore no request id, and a copy that bore the id of a request sent to the same upstream again was taken for its answer.

Change: a refusal without a request id counts only as the first response on its connection, which no other can precede. A request that an upstream has refused is sent to it again only on a connection of its own. Anything else is a response that is not verified: it may have run, and callers are told so. Reports and orders verify their ids already; plain services never get a request twice; our own interface takes no response of an upstream for a refusal.

--- a/crates/dogwoodshunt_border/src/http/connection_pool.rs
+++ b/crates/dogwoodshunt_border/src/http/connection_pool.rs
@@ -122,6 +122,8 @@
 
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Whether a response has been read on the connection.
+    is_used: bool,
     idle_until: Instant,
     // Dropping the task closes the connection immediately.
     _connection_task: Task<()>,
@@ -172,6 +174,21 @@
                 Err(AttemptError::NotSent(returned, _)) => req = *returned,
             }
         }
+        self.send_on_new_connection(peer, req).await
+    }
+
+    /// Sends a request to `peer` on a connection that has carried no other, and waits for the head
+    /// of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer is unreachable or the connection fails; the variant tells whether the
+    /// request may have been sent.
+    pub async fn send_on_new_connection(
+        self: &Arc<Self>,
+        peer: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Exchange, SendError> {
         let connection = self.connect(peer).await?;
         match self.try_send(peer, connection, req).await {
             Ok(exchange) => Ok(exchange),
@@ -189,6 +206,7 @@
             Ok(response) => {
                 let (head, body) = response.into_parts();
                 let idle_timeout = idle_timeout(&head.headers);
+                let is_first_on_connection = !std::mem::replace(&mut connection.is_used, true);
                 connection.idle_until = Instant::now() + idle_timeout;
                 Ok(Exchange {
                     status: head.status,
@@ -196,6 +214,7 @@
                     body,
                     connection: Some(connection),
                     idle_timeout,
+                    is_first_on_connection,
                     peer,
                     pool: self.clone(),
                 })
@@ -245,6 +264,7 @@
         };
         Ok(Connection {
             sender,
+            is_used: false,
             idle_until: Instant::now() + DEFAULT_IDLE_TIMEOUT,
             _connection_task: self.executor.spawn(connection_task),
         })
@@ -290,6 +310,9 @@
     pub status: StatusCode,
     /// Headers of the response.
     pub headers: HeaderMap,
+    /// Whether no other response has been read on the connection, so that this one cannot be a late
+    /// copy of another.
+    pub is_first_on_connection: bool,
     body: Incoming,
     connection: Option<Connection>,
     idle_timeout: Duration,
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -74,6 +74,8 @@
     unreached: u32,
     /// Engines that the request has not reached, which are not selected for it again.
     excluded: Vec<UpstreamName>,
+    /// Engines that have refused the request.
+    refused_by: Vec<UpstreamName>,
     /// Why the response to a send that may have run was lost; `None` if no such
     /// send has occurred.
     lost_response_reason: Option<Box<str>>,
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -150,7 +150,11 @@
                 "waited_ms" => (waited * 1e3) as u64, "sent" => history.sent,
                 "parts" => shared_parts(routed));
             metrics::observe_latency(&self.metrics.grant_wait_seconds, &routed.route.name, waited);
-            let failure = match self.send(routed, &grant, &mut guard, resume_after).await {
+            let refused_before = history.refused_by.contains(&grant.upstream);
+            let sent = self
+                .send(routed, &grant, &mut guard, resume_after, refused_before)
+                .await;
+            let failure = match sent {
                 Ok(exchange) => {
                     history.sent += 1;
                     return Ok(EngineResponse {
@@ -192,6 +196,7 @@
             }
             SendFailure::Refused => {
                 history.sent += 1;
+                history.refused_by.push(grant.upstream.clone());
                 let should_retry =
                     history.sent < routed.route.max_attempts && self.take_retry(routed).await;
                 (!should_retry).then(|| history.refuse(not_run, Duration::ZERO))
@@ -274,6 +279,7 @@
         grant: &Grant,
         guard: &mut RunGuard,
         resume_after: Option<u64>,
+        refused_before: bool,
     ) -> Result<Exchange, SendFailure> {
         let time_left = routed.deadline.saturating_duration_since(Instant::now());
         let dispatch = Dispatch {
@@ -285,6 +291,7 @@
             rank: routed.route.rank,
             resume_after,
             rate_limited: grant.rate_limited,
+            refused_before,
         };
         let sent = async { Ok(self.upstream_client.send(&routed.call, &dispatch).await) };
         let timeout = async {
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -203,6 +203,8 @@
             rank: routed.route.rank,
             resume_after: None,
             rate_limited: selected.rate_limited,
+            // No call is sent to an upstream twice.
+            refused_before: false,
         };
         let mut guard = CallGuard {
             service: routed.service.clone(),
--- a/crates/dogwoodshunt_gateway/src/platform.rs
+++ b/crates/dogwoodshunt_gateway/src/platform.rs
@@ -65,6 +65,9 @@
     pub resume_after: Option<u64>,
     /// Whether the upstream is known to limit the requests of all entries together.
     pub rate_limited: bool,
+    /// Whether the upstream has refused the call before. A late copy of that refusal would bear the
+    /// id of the call, so the call is sent on a connection of its own.
+    pub refused_before: bool,
 }
 
 /// Whether an upstream executes a call, according to the head of its response.
