Explain a request that takes up a stream with the others of the stream

The story of a take-up begins at the request that brought the first event, often at another entry. explain follows the field resumes in both directions.

--- a/crates/dogwoodshunt_ctl/src/explain.rs
+++ b/crates/dogwoodshunt_ctl/src/explain.rs
@@ -3,7 +3,8 @@
 //!
 //! Entries log a request under the id that its caller set, and under the ids of
 //! its attempts, by which agents know the request. The lines with any of these
-//! ids, ordered by time, show each decision and its inputs. Lines without such
+//! ids, ordered by time, show each decision and its inputs. A request that takes up a stream is
+//! shown with the one that began it and the others that took it up. Lines without such
 //! an id can still show a cause: orders to load the request's adapter while the
 //! request waited, and the loss of the upstream that the request was sent to.
 
@@ -16,6 +17,9 @@
 /// Field with the id of an attempt, as agents log it.
 const ATTEMPT_ID_FIELD: &str = "request";
 
+/// Field with the caller's id of the request that began the stream which a request takes up.
+const RESUMES_FIELD: &str = "resumes";
+
 /// Field with the timestamp of a line, in Unix milliseconds.
 const TIMESTAMP_FIELD: &str = "ts_ms";
 
@@ -49,6 +53,8 @@
     node: Option<Box<str>>,
     caller_id: Option<Box<str>>,
     attempt_id: Option<Box<str>>,
+    /// Caller's id of the request that began the stream, if the request takes a stream up.
+    resumes: Option<Box<str>>,
     order: Option<Box<str>>,
     target: Option<Box<str>>,
     upstream: Option<Box<str>>,
@@ -74,6 +80,7 @@
             node: non_empty_field("node"),
             caller_id: non_empty_field(CALLER_ID_FIELD),
             attempt_id: non_empty_field(ATTEMPT_ID_FIELD),
+            resumes: non_empty_field(RESUMES_FIELD),
             order: non_empty_field("order"),
             target: non_empty_field("target"),
             upstream: non_empty_field("upstream"),
@@ -125,6 +132,8 @@
         ids.caller_ids.extend(line.caller_id.clone());
         ids.attempt_ids.extend(line.attempt_id.clone());
     }
+    ids.caller_ids
+        .extend(requests_of_streams(lines, &ids.caller_ids));
     let callers = ids.caller_ids.clone();
     let lines_of_caller = lines
         .iter()
@@ -134,6 +143,23 @@
     ids
 }
 
+/// Returns the callers' ids of all requests that belong to the streams of the requests `callers`:
+/// those that began the streams and those that took them up.
+fn requests_of_streams(lines: &[LogLine], callers: &BTreeSet<Box<str>>) -> BTreeSet<Box<str>> {
+    let is_in = |ids: &BTreeSet<Box<str>>, id: &Option<Box<str>>| {
+        id.as_ref().is_some_and(|id| ids.contains(id))
+    };
+    let mut first = callers.clone();
+    let taking_up = lines.iter().filter(|line| is_in(callers, &line.caller_id));
+    first.extend(taking_up.filter_map(|line| line.resumes.clone()));
+    let of_streams = lines.iter().filter(|line| is_in(&first, &line.resumes));
+    let later: Vec<Box<str>> = of_streams
+        .filter_map(|line| line.caller_id.clone())
+        .collect();
+    first.extend(later);
+    first
+}
+
 /// Filter for lines without an id of the request that show a cause of its result.
 struct CauseFilter {
     /// Start and end of the request, in Unix milliseconds: the start follows from
--- a/crates/dogwoodshunt_ctl/src/tests.rs
+++ b/crates/dogwoodshunt_ctl/src/tests.rs
@@ -108,6 +108,28 @@
     }
 }
 
+/// Logs of a stream that its caller took up twice, at other entries, and of another stream.
+const LOGS_OF_STREAMS: &str = r#"
+ts_ms=1 event="placed" node=entry-1 id=c1 request=00a-256 software=v1
+ts_ms=2 event="request" node=entry-1 id=c1 resumes="" outcome=answered
+ts_ms=3 event="stream taken up" node=entry-2 id=c2 resumes=c1 software=v1 source=agent
+ts_ms=4 event="placed" node=entry-2 id=c2 request=00b-256 software=v1
+ts_ms=5 event="granted" node=agent-1 request=00b-256
+ts_ms=6 event="stream taken up" node=entry-1 id=c3 resumes=c1 source=unknown
+ts_ms=7 event="stream taken up" node=entry-1 id=d2 resumes=d1 source=entry
+"#;
+
+#[rstest]
+fn request_that_takes_up_a_stream_is_shown_with_the_others_of_the_stream(
+    #[values("c1", "c2", "c3", "00b-256")] id: &str,
+) {
+    let lines = LOGS_OF_STREAMS.lines().filter_map(LogLine::parse).collect();
+    let related = explain::related_lines(lines, id);
+    let related: Vec<&str> = related.iter().map(LogLine::text).collect();
+    let all: Vec<&str> = LOGS_OF_STREAMS.lines().skip(1).take(6).collect();
+    assert_eq!(related, all);
+}
+
 /// Logs of a request that waited for its adapter and lost its engine, with
 /// unrelated lines of other requests, agents and times.
 const LOGS_WITH_CAUSES: &str = r#"
