Read the hosts of a host list one by one

Another operator's machines stopped following their list when another writer left one odd entry in it.

On our own interface it could: the host list is one document, and one host with an unknown state, without a name or with a number in place of a name made the whole list unreadable, so that a leaving host kept getting requests. Each host is read by itself now, and the entry logs how many it could not read.

--- a/crates/dogwoodshunt_border/src/tests.rs
+++ b/crates/dogwoodshunt_border/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of reading bodies, of the connection pool and of event streams.
 
 mod connection_pool;
+mod host_list;
 mod sse;
 mod stream_end;
 
--- a/crates/dogwoodshunt_entry/src/watchers.rs
+++ b/crates/dogwoodshunt_entry/src/watchers.rs
@@ -121,13 +121,19 @@
 impl HostListWatcher {
     /// Polls for as long as the process runs.
     pub async fn run(self) {
-        let mut was_failing = false;
+        let (mut was_failing, mut was_odd) = (false, false);
         loop {
             let result =
                 host_list::leaving_hosts(&self.client, &self.address, HOST_LIST_TIMEOUT).await;
             let is_failing = result.is_err();
             match result {
-                Ok(leaving_hosts) => {
+                Ok(hosts) => {
+                    if hosts.unreadable > 0 && !was_odd {
+                        warn!(self.log, "hosts of the host list not read";
+                            "hosts" => hosts.unreadable);
+                    }
+                    was_odd = hosts.unreadable > 0;
+                    let leaving_hosts = hosts.names;
                     let _ = self
                         .events
                         .send(ControlEvent::HostListRead { leaving_hosts })
