Do not trust the listed version of an engine that has restarted under its name

Found by going through what can make the listed version wrong: an engine comes back under its name with another version while the list cannot be read, or before its record arrives. Its streams would be recorded at the version of the process before, and streams of that version would go on there. The agent beside it knows the start time of the process from its report, and names it with each admission now; where it is not that of the listed process, the version is not known and the process stands for it.

Evidence: stream_of_an_engine_that_has_restarted_under_its_name_is_not_recorded_at_the_listed_version plays an admission by a later process than the listed one. An older agent names no start time, and then the list is trusted as before; so is an engine whose agent is down.

--- a/crates/dogwoodshunt_engine_agent/src/control/runs.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/runs.rs
@@ -111,6 +111,7 @@
         let frame = Frame::Admitted {
             request,
             upstream: identity.name.clone(),
+            started: self.engine.started_at(),
             target: running.target.clone(),
         };
         let link = run.link;
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -17,6 +17,7 @@
 use dogwoodshunt_wire::frame::StreamOrigin;
 use dogwoodshunt_wire::frame::UpstreamConfig;
 use dogwoodshunt_wire::frame::UpstreamIdentity;
+use dogwoodshunt_wire::frame::UpstreamProcess;
 use slog::info;
 use slog::warn;
 use std::net::SocketAddr;
@@ -291,8 +292,15 @@
             Frame::Admitted {
                 request,
                 upstream,
+                started,
                 target,
-            } => self.on_admitted(now, agent, request, upstream, target),
+            } => {
+                let process = UpstreamProcess {
+                    name: upstream,
+                    started,
+                };
+                self.on_admitted(now, agent, request, process, target)
+            }
             Frame::Heartbeat(heartbeat) => self.on_heartbeat(now, agent, *heartbeat),
             Frame::Load(load) => {
                 self.router.on_report(now, agent, ReportUpdate::Load(*load));
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -361,7 +361,7 @@
         now: Instant,
         agent: AgentKey,
         request: RequestId,
-        upstream: UpstreamName,
+        process: UpstreamProcess,
         target: Target,
     ) {
         let (placement_id, attempt) = split_request_id(request);
@@ -375,20 +375,22 @@
             return;
         };
         // Another engine may have taken the place of the one that was asked for.
-        let engine = self.engine_identity(agent);
+        let engine = self
+            .engine_identity(agent)
+            .map(|listed| listed.as_seen(process.started));
         let Some(engine) = engine.filter(|engine| pending.placement.accepts(engine)) else {
             self.send(agent, done_frame(request, RunEnd::Finished));
             self.try_next_agent(now, placement_id, pending);
             return;
         };
-        let (address, started) = (engine.address, engine.started);
         let software = engine.software_identity();
+        let (address, started) = (engine.address, engine.started);
         let rate_limited = self
             .router
             .agent(agent)
             .is_some_and(|a| a.is_rate_limited());
         self.start_run(now, placement_id, pending, |agent_silent| Grant {
-            upstream,
+            upstream: process.name,
             address,
             started,
             software,
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -144,6 +144,8 @@
     agents: Vec<(AgentKey, Receiver<Frame>)>,
     revision: i64,
     last_placement_id: u64,
+    /// Start time of the engine's process in the next admissions.
+    admitted_started: u64,
 }
 
 impl TestEntry {
@@ -186,6 +188,7 @@
             agents: Vec::new(),
             revision: 0,
             last_placement_id: 0,
+            admitted_started: 0,
         };
         entry.put_record(Topic::Operator, "op/config", "config 1");
         let records = [
@@ -293,6 +296,7 @@
         let frame = Frame::Admitted {
             request: admit.request,
             upstream: "engine-x".into(),
+            started: self.admitted_started,
             target: admit.target.clone(),
         };
         self.handle(ControlEvent::Frame { agent, frame });
--- a/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
@@ -194,3 +194,35 @@
     assert!(ended, "{frames:?}");
     assert!(!frames.iter().any(|(_, f)| matches!(f, Frame::Admit(_))));
 }
+
+/// The store is out of reach, so the list does not show that the engine has restarted.
+#[test]
+fn stream_of_an_engine_that_has_restarted_under_its_name_is_not_recorded_at_the_listed_version() {
+    let mut entry = TestEntry::new();
+    let key = "up/engine-1";
+    let value = "upstream models 1 ready 2 v1";
+    entry.put_record(super::Topic::Upstreams, key, value);
+    let value = "upstream models 2 leaving";
+    entry.put_record(super::Topic::Upstreams, "up/engine-2", value);
+    let (_, grant_rx) = entry.place("a");
+    let (agent, admit) = entry.expect_admit();
+    entry.admitted_started = 3;
+    entry.receive_admitted(agent, &admit);
+    let grant = grant_rx.try_recv().unwrap().unwrap();
+    assert_eq!(grant.software.as_deref(), Some("process engine-1 3"));
+    // Nor does a stream that v1 began go on there.
+    assert_eq!(entry.place_at("v1"), None);
+    let (agent, admit) = entry.expect_admit();
+    entry.receive_admitted(agent, &admit);
+    let frames = entry.take_sent_frames();
+    assert!(
+        matches!(frames[..], [(_, Frame::Done { .. })]),
+        "{frames:?}"
+    );
+    entry.admitted_started = 2;
+    let (_, grant_rx) = entry.place("a");
+    let (agent, admit) = entry.expect_admit();
+    entry.receive_admitted(agent, &admit);
+    let grant = grant_rx.try_recv().unwrap().unwrap();
+    assert_eq!(grant.software.as_deref(), Some("v1"));
+}
--- a/crates/dogwoodshunt_serving/src/registry.rs
+++ b/crates/dogwoodshunt_serving/src/registry.rs
@@ -45,6 +45,18 @@
 }
 
 impl ListedUpstream {
+    /// Returns the upstream as its agent sees it: if the process that runs is not the listed one, the
+    /// version of its software is not known. A start time of 0 is not known either.
+    pub fn as_seen(&self, started: UnixMillis) -> Self {
+        let is_other = started != 0 && self.started != 0 && started != self.started;
+        let mut seen = self.clone();
+        if is_other {
+            seen.started = started;
+            seen.software = None;
+        }
+        seen
+    }
+
     /// Returns what tells apart the software of upstreams whose streams do not fit together: the
     /// version or, where none is listed, the process. Returns `None` if neither is known.
     pub fn software_identity(&self) -> Option<SoftwareVersion> {
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -68,6 +68,9 @@
         request: RequestId,
         /// Upstream that has capacity for the run.
         upstream: UpstreamName,
+        /// Start time of the process of the upstream, as known to the agent; 0 if it is not.
+        #[serde(default, skip_serializing_if = "is_default")]
+        started: UnixMillis,
         /// Target that is loaded on the upstream; its version may be newer than the requested one.
         target: Target,
     },
