--- a/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
@@ -2,12 +2,14 @@
 
 use super::TestEntry;
 use crate::control::ControlEvent;
+use crate::control::Grant;
 use crate::control::KnownOrigin;
 use crate::control::PlacementRequest;
 use async_channel::Receiver;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_streams::lookups::LOOKUP_TIMEOUT;
+use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::StreamId;
 use dogwoodshunt_wire::Frame;
@@ -48,7 +50,7 @@
             .collect()
     }
 
-    fn place_at(&mut self, software: &str) -> Option<NotRunReason> {
+    fn place_at(&mut self, software: &str) -> Receiver<Result<Grant, NotRun>> {
         self.last_placement_id += 1;
         let (reply_tx, grant_rx) = async_channel::bounded(1);
         let req = PlacementRequest {
@@ -68,8 +70,7 @@
             req: Box::new(req),
             reply_tx,
         });
-        let answered = grant_rx.try_recv().ok();
-        answered.and_then(|granted| granted.err().map(|not_run| not_run.reason))
+        grant_rx
     }
 }
 
@@ -165,12 +166,14 @@
         "up/engine-2",
         "upstream models 2 ready 2 v2",
     );
-    assert_eq!(entry.place_at("v3"), Some(NotRunReason::SoftwareGone));
+    let refusal = entry.place_at("v3").try_recv().unwrap().unwrap_err();
+    assert_eq!(refusal.reason, NotRunReason::SoftwareGone);
     assert!(entry.take_sent_frames().is_empty());
     let agents = entry.control.agent_keys();
     for (software, agent) in ["v1", "v2"].into_iter().zip(agents) {
-        assert_eq!(entry.place_at(software), None);
+        let grant_rx = entry.place_at(software);
         assert_eq!(entry.expect_admit().0, agent);
+        assert!(grant_rx.is_empty());
     }
 }
 
@@ -182,7 +185,7 @@
         let value = format!("upstream models {number} ready 2 {version}");
         entry.put_record(super::Topic::Upstreams, &key, &value);
     }
-    assert_eq!(entry.place_at("v1"), None);
+    let grant_rx = entry.place_at("v1");
     let (agent, admit) = entry.expect_admit();
     let value = "upstream models 1 ready 3 v2";
     entry.put_record(super::Topic::Upstreams, "up/engine-1", value);
@@ -193,6 +196,8 @@
     });
     assert!(ended, "{frames:?}");
     assert!(!frames.iter().any(|(_, f)| matches!(f, Frame::Admit(_))));
+    let refusal = grant_rx.try_recv().unwrap().unwrap_err();
+    assert_eq!(refusal.reason, NotRunReason::SoftwareGone);
 }
 
 /// The store is out of reach, so the list does not show that the engine has restarted.
@@ -211,7 +216,7 @@
     let grant = grant_rx.try_recv().unwrap().unwrap();
     assert_eq!(grant.software.as_deref(), Some("process engine-1 3"));
     // Nor does a stream that v1 began go on there.
-    assert_eq!(entry.place_at("v1"), None);
+    let refused_rx = entry.place_at("v1");
     let (agent, admit) = entry.expect_admit();
     entry.receive_admitted(agent, &admit);
     let frames = entry.take_sent_frames();
@@ -219,6 +224,7 @@
         matches!(frames[..], [(_, Frame::Done { .. })]),
         "{frames:?}"
     );
+    assert!(refused_rx.try_recv().unwrap().is_err());
     entry.admitted_started = 2;
     let (_, grant_rx) = entry.place("a");
     let (agent, admit) = entry.expect_admit();
