--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -5,6 +5,7 @@
 mod overview;
 mod quarantine;
 mod rate_limits;
+mod reachability;
 mod records;
 mod restore;
 mod sse;
@@ -248,6 +249,15 @@
     }
 
     fn place(&mut self, adapter: &str) -> (u64, Receiver<Result<Grant, NotRun>>) {
+        self.place_beside(adapter, &[])
+    }
+
+    /// Places a request that has not reached the engines `excluded`.
+    fn place_beside(
+        &mut self,
+        adapter: &str,
+        excluded: &[&str],
+    ) -> (u64, Receiver<Result<Grant, NotRun>>) {
         self.last_placement_id += 1;
         let (reply_tx, grant_rx) = async_channel::bounded(1);
         let req = PlacementRequest {
@@ -258,7 +268,7 @@
             adapter: Some(adapter.into()),
             demand: Demand::default(),
             software: None,
-            excluded: Vec::new(),
+            excluded: excluded.iter().map(|name| (*name).into()).collect(),
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
