--- a/crates/dogwoodshunt_wire/src/tests.rs
+++ b/crates/dogwoodshunt_wire/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the codec and the handshake.
 
 mod reports;
+mod streams;
 
 use crate::Frame;
 use crate::codec;
