--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod case_moved_route;
+mod case_pages;
 mod deployment;
 mod http;
 mod json;
@@ -50,6 +51,7 @@
     record.note(if trouble { "with the disruption" } else { "without the disruption" });
     let run = match case.as_str() {
         "moved-route" => case_moved_route::run,
+        "pages" => case_pages::run,
         _ => {
             eprintln!("no case {case}");
             exit(2);
