Show that a late order overfills a runner that has started again

Review case 3 (rule LIMIT): instance, fencing token and expected count of an order fit a runner that was restarted under its id and filled again.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod case_late_order;
 mod case_moved_route;
 mod case_pages;
 mod deployment;
@@ -52,6 +53,7 @@
     let run = match case.as_str() {
         "moved-route" => case_moved_route::run,
         "pages" => case_pages::run,
+        "late-order" => case_late_order::run,
         _ => {
             eprintln!("no case {case}");
             exit(2);
