--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod case_late_order;
+mod case_many_versions;
 mod case_moved_route;
 mod case_pages;
 mod deployment;
@@ -53,16 +54,19 @@
     let run = match case.as_str() {
         "moved-route" => case_moved_route::run,
         "pages" => case_pages::run,
+        "many-versions" => case_many_versions::run,
         "late-order" => case_late_order::run,
         _ => {
             eprintln!("no case {case}");
             exit(2);
         }
     };
+    // The grown deployment of the same users has other bounds.
+    let is_grown = case == "many-versions";
     let noted = record.clone();
     let (folder, root) = (scratch.clone(), root);
     let played = thread::spawn(move || {
-        let deployment = Deployment::start(root, folder, noted, trouble);
+        let deployment = Deployment::start(root, folder, noted, is_grown, trouble);
         // Processes of the system are killed when the case ends, also by a panic.
         run(&deployment)
     });
