--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod case_many_versions;
 mod case_moved_route;
 mod case_pages;
+mod case_slow_upload;
 mod deployment;
 mod http;
 mod json;
@@ -53,6 +54,7 @@
     record.note(if trouble { "with the disruption" } else { "without the disruption" });
     let run = match case.as_str() {
         "moved-route" => case_moved_route::run,
+        "slow-upload" => case_slow_upload::run,
         "pages" => case_pages::run,
         "many-versions" => case_many_versions::run,
         "late-order" => case_late_order::run,
