Show that a large deployment doesn't recover from a final fault

Review case 1 (rule RECOVER): each agent gets the declared versions of all adapters in one frame, behind which heartbeats wait until the agent gives the entry up.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod case_final_fault;
 mod case_late_order;
 mod case_many_versions;
 mod case_moved_route;
@@ -12,6 +13,7 @@
 mod deployment;
 mod http;
 mod json;
+mod link;
 mod record;
 mod runner;
 mod store;
@@ -55,6 +57,7 @@
     let run = match case.as_str() {
         "moved-route" => case_moved_route::run,
         "slow-upload" => case_slow_upload::run,
+        "final-fault" => case_final_fault::run,
         "pages" => case_pages::run,
         "many-versions" => case_many_versions::run,
         "late-order" => case_late_order::run,
@@ -64,7 +67,7 @@
         }
     };
     // The grown deployment of the same users has other bounds.
-    let is_grown = case == "many-versions";
+    let is_grown = matches!(case.as_str(), "many-versions" | "final-fault");
     let noted = record.clone();
     let (folder, root) = (scratch.clone(), root);
     let played = thread::spawn(move || {
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -18,6 +18,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Distance between the numbers of a machine and of its agent's address behind a link.
+const BEHIND_LINK: u8 = 100;
+
 /// Addresses, ports and folders of one small deployment on loopback.
 pub struct Site {
     pub root: PathBuf,
@@ -76,7 +79,14 @@
         SocketAddr::new(self.ip(machine).into(), self.ports[3])
     }
 
-    fn fields(&self, machine: u8, name: &str) -> BTreeMap<String, String> {
+    /// Address at which the agent of a machine is reached over a link, and that at which it listens
+    /// then.
+    pub fn agent_addresses(&self, machine: u8) -> (SocketAddr, SocketAddr) {
+        let address = |machine| SocketAddr::new(self.ip(machine).into(), self.ports[4]);
+        (address(machine), address(machine + BEHIND_LINK))
+    }
+
+    fn fields(&self, machine: u8, app: u8, name: &str) -> BTreeMap<String, String> {
         let mut fields: BTreeMap<String, String> = BTreeMap::new();
         for (name, value) in &self.bounds {
             fields.insert((*name).to_owned(), (*value).to_owned());
@@ -89,7 +99,7 @@
             ("listen.front", self.front(machine).to_string()),
             ("listen.ready_addr", self.ready_address(machine).to_string()),
             ("internal_port_range.0", self.ports[4].to_string()),
-            ("app", self.app(machine).to_string()),
+            ("app", self.app(app).to_string()),
             ("platform.address", self.store_address().to_string()),
         ];
         for (name, value) in texts {
@@ -100,10 +110,20 @@
 
     /// Starts the process of `role` (`entry` or `agent`) on a machine.
     pub fn start(&self, role: &str, machine: u8, name: &str) -> Process {
+        self.start_beside(role, machine, machine, name)
+    }
+
+    /// Starts the agent of a machine that is reached over a link.
+    pub fn start_agent(&self, machine: u8) -> Process {
+        let name = format!("side-kicukiro-{machine}");
+        self.start_beside("agent", machine + BEHIND_LINK, machine, &name)
+    }
+
+    fn start_beside(&self, role: &str, machine: u8, app: u8, name: &str) -> Process {
         let deploy = fs::read_to_string(self.root.join("deploy/system.toml")).expect("deploy file");
         let (run, template) = role_of(&deploy, role);
         let template = fs::read_to_string(self.root.join(&template)).expect("template");
-        let settings = fill_in(&template, &self.fields(machine, name));
+        let settings = fill_in(&template, &self.fields(machine, app, name));
         let path = self.folder.join(format!("{name}.conf"));
         fs::write(&path, settings).expect("settings file");
         let log = fs::OpenOptions::new()
