--- a/review/standin/case_final_fault.rs
+++ b/review/standin/case_final_fault.rs
@@ -25,7 +25,11 @@
 const RECOVER_MS: u64 = 15_000;
 
 pub fn run(deployment: &Deployment) -> Verdict {
-    deployment.configure(&configuration(3, &[streaming("/draft/", SERVICE)], &[SERVICE]));
+    deployment.configure(&configuration(
+        3,
+        &[streaming("/draft/", SERVICE)],
+        &[SERVICE],
+    ));
     for adapter in 1..=DECLARED {
         let key = format!("op/version/{MODEL}.a{adapter}");
         let value = format!("{{\"model\":\"{MODEL}\",\"adapter\":\"a{adapter}\",\"version\":1}}");
@@ -63,7 +67,9 @@
     pause(3_000);
     let before = ask_all(40);
     if deployment.trouble {
-        deployment.record.note("all processes of the system are killed");
+        deployment
+            .record
+            .note("all processes of the system are killed");
         entry.signal("KILL");
         agents.iter().for_each(|agent| agent.signal("KILL"));
         entry.wait(Duration::from_secs(2));
--- a/review/standin/case_late_order.rs
+++ b/review/standin/case_late_order.rs
@@ -20,7 +20,11 @@
 const LATE: Duration = Duration::from_secs(10);
 
 pub fn run(deployment: &Deployment) -> Verdict {
-    deployment.configure(&configuration(3, &[streaming("/draft/", SERVICE)], &[SERVICE]));
+    deployment.configure(&configuration(
+        3,
+        &[streaming("/draft/", SERVICE)],
+        &[SERVICE],
+    ));
     let runner = deployment.runner(11, "i-7f3a91c2", SERVICE);
     let _agent = deployment.agent(11);
     let _entry = deployment.entry(1);
@@ -76,7 +80,9 @@
         runner.set_order_filter(None);
         pause(2_000);
         runner.restart();
-        deployment.record.note("the runner has started again under its id");
+        deployment
+            .record
+            .note("the runner has started again under its id");
     } else if !ask(ADAPTER_SLOTS + 1) {
         return not_served(ADAPTER_SLOTS + 1);
     }
--- a/review/standin/case_many_versions.rs
+++ b/review/standin/case_many_versions.rs
@@ -83,7 +83,12 @@
         }
     });
     let asked = asked.into_inner().unwrap();
-    let took = |limit: u128| asked.iter().filter(|asked| asked.answer.took_ms > limit).count();
+    let took = |limit: u128| {
+        asked
+            .iter()
+            .filter(|asked| asked.answer.took_ms > limit)
+            .count()
+    };
     let (unanswered, late) = (took(TIMEOUT_MS), took(LATE_MS));
     let text = format!(
         "of {} requests, {unanswered} had no answer at the route's timeout of {TIMEOUT_MS} ms and \
@@ -91,7 +96,11 @@
          held {} MB at most",
         asked.len(),
         asked.iter().filter(|asked| asked.is_served()).count(),
-        asked.iter().map(|asked| asked.answer.took_ms).max().unwrap_or(0),
+        asked
+            .iter()
+            .map(|asked| asked.answer.took_ms)
+            .max()
+            .unwrap_or(0),
         entry.peak_memory_mb(),
     );
     match unanswered > 0 && 2 * late > unanswered {
--- a/review/standin/case_slow_upload.rs
+++ b/review/standin/case_slow_upload.rs
@@ -26,7 +26,11 @@
 const LONG_OUTPUT: u32 = 320;
 
 pub fn run(deployment: &Deployment) -> Verdict {
-    deployment.configure(&configuration(3, &[streaming("/draft/", SERVICE)], &[SERVICE]));
+    deployment.configure(&configuration(
+        3,
+        &[streaming("/draft/", SERVICE)],
+        &[SERVICE],
+    ));
     let runner = deployment.runner(11, "i-7f3a91c2", SERVICE);
     let _agent = deployment.agent(11);
     let entry = deployment.entry(1);
@@ -85,7 +89,11 @@
         "the request was sent whole {:.1} s after the SIGTERM, {}; the client got {status} with \
          {events} of {} events, and the connection ended after {ended_at:.2} s, the answer {}",
         SENT_AT.as_secs_f64(),
-        if has_run { "and a runner ran it" } else { "and no runner ran it" },
+        if has_run {
+            "and a runner ran it"
+        } else {
+            "and no runner ran it"
+        },
         LONG_OUTPUT / 4,
         if is_whole { "whole" } else { "not whole" },
     );
--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -179,8 +179,9 @@
     pub fn configure(&self, text: &str) -> Instant {
         let revision = self.store.put("op/config", text);
         let now = Instant::now();
-        self.record
-            .note(&format!("op/config is acknowledged at revision {revision}: {text}"));
+        self.record.note(&format!(
+            "op/config is acknowledged at revision {revision}: {text}"
+        ));
         now
     }
 
@@ -198,8 +199,10 @@
         text.push_str("Connection: close\r\n\r\n");
         text.push_str(body);
         let sent_at = Instant::now();
-        self.record
-            .note(&format!("client sends {id} {method} {path} {}", extra.trim()));
+        self.record.note(&format!(
+            "client sends {id} {method} {path} {}",
+            extra.trim()
+        ));
         let front = self.site.front(1);
         let answer = http::call(front, text.as_bytes(), Duration::from_millis(wait_ms));
         self.record.note(&format!(
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -125,7 +125,10 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<()> {
-    let mut text = format!("HTTP/1.1 {status} Answer\r\nContent-Length: {}\r\n", body.len());
+    let mut text = format!(
+        "HTTP/1.1 {status} Answer\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -157,7 +157,10 @@
             _ => {
                 let start = self.at;
                 while self.at < self.bytes.len()
-                    && matches!(self.bytes[self.at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+                    && matches!(
+                        self.bytes[self.at],
+                        b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E'
+                    )
                 {
                     self.at += 1;
                 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -53,7 +53,11 @@
             exit(2);
         }
     };
-    record.note(if trouble { "with the disruption" } else { "without the disruption" });
+    record.note(if trouble {
+        "with the disruption"
+    } else {
+        "without the disruption"
+    });
     let run = match case.as_str() {
         "moved-route" => case_moved_route::run,
         "slow-upload" => case_slow_upload::run,
--- a/review/standin/runner.rs
+++ b/review/standin/runner.rs
@@ -72,9 +72,6 @@
     adapters: BTreeMap<String, Instant>,
     known_adapters: BTreeSet<String>,
     runs: Vec<Run>,
-    /// Requests run since the loss of answers began, and how many answers were lost.
-    run_in_window: u32,
-    lost_in_window: u32,
     draining: bool,
     /// Number of adapters that were held when an order went beyond the places.
     overfilled: Option<String>,
@@ -89,7 +86,6 @@
 }
 
 type OrderFilter = dyn Fn(&Order) -> OrderFate + Send + Sync;
-type LossFilter = dyn Fn(&Request, u32) -> bool + Send + Sync;
 
 pub struct Runner {
     pub spec: Spec,
@@ -97,7 +93,6 @@
     record: Arc<Record>,
     state: Mutex<State>,
     order_filter: Mutex<Option<Box<OrderFilter>>>,
-    loss_filter: Mutex<Option<Box<LossFilter>>>,
     unanswered: Mutex<Vec<Order>>,
 }
 
@@ -113,7 +108,6 @@
             store: store.clone(),
             record: record.clone(),
             order_filter: Mutex::new(None),
-            loss_filter: Mutex::new(None),
             unanswered: Mutex::new(Vec::new()),
         });
         runner.begin();
@@ -181,10 +175,6 @@
         *self.order_filter.lock().unwrap() = filter;
     }
 
-    pub fn set_loss_filter(&self, filter: Option<Box<LossFilter>>) {
-        *self.loss_filter.lock().unwrap() = filter;
-    }
-
     pub fn unanswered(&self) -> Vec<Order> {
         self.unanswered.lock().unwrap().clone()
     }
@@ -193,13 +183,6 @@
         self.state.lock().unwrap().runs.clone()
     }
 
-    /// Returns how many requests ran since the loss of answers began, and how many answers of
-    /// these were lost.
-    pub fn losses(&self) -> (u32, u32) {
-        let state = self.state.lock().unwrap();
-        (state.run_in_window, state.lost_in_window)
-    }
-
     pub fn overfilled(&self) -> Option<String> {
         self.state.lock().unwrap().overfilled.clone()
     }
@@ -265,11 +248,15 @@
             at: Instant::now(),
         };
         let filter = self.order_filter.lock().unwrap();
-        let fate = filter.as_ref().map_or(OrderFate::CarryOut, |filter| filter(&order));
+        let fate = filter
+            .as_ref()
+            .map_or(OrderFate::CarryOut, |filter| filter(&order));
         drop(filter);
         if fate == OrderFate::LeaveUnanswered {
-            self.record
-                .note(&format!("{}: order {body} is left unanswered", self.spec.id));
+            self.record.note(&format!(
+                "{}: order {body} is left unanswered",
+                self.spec.id
+            ));
             self.unanswered.lock().unwrap().push(order);
             while !http::is_closed(stream) {
                 thread::sleep(Duration::from_millis(5));
@@ -284,7 +271,11 @@
 
     /// Carries out an order, checked at this moment as the pages say. Returns the status.
     pub fn carry_out(&self, order: &Order) -> u16 {
-        if order.instance.as_ref().is_some_and(|id| *id != self.spec.id) {
+        if order
+            .instance
+            .as_ref()
+            .is_some_and(|id| *id != self.spec.id)
+        {
             return 421;
         }
         let mut state = self.state.lock().unwrap();
@@ -355,34 +346,20 @@
             ];
             return http::respond(stream, 421, &headers, b"").is_ok();
         }
-        let is_lost = {
-            let mut state = self.state.lock().unwrap();
-            state.runs.push(Run { id: id.clone() });
-            let filter = self.loss_filter.lock().unwrap();
-            filter.as_ref().is_some_and(|filter| {
-                state.run_in_window += 1;
-                let is_lost = filter(req, state.run_in_window);
-                state.lost_in_window += u32::from(is_lost);
-                is_lost
-            })
-        };
+        self.state.lock().unwrap().runs.push(Run { id: id.clone() });
         self.record.note(&format!(
-            "{} ({}) runs {id} {} {}{}",
-            self.spec.id,
-            self.spec.service,
-            req.method,
-            req.path,
-            if is_lost { ", its answer is lost" } else { "" }
+            "{} ({}) runs {id} {} {}",
+            self.spec.id, self.spec.service, req.method, req.path
         ));
         if req.header("model").is_some() {
             return self.stream(req, &id, stream);
         }
         thread::sleep(Duration::from_millis(20));
-        if is_lost {
-            return false;
-        }
         let seal = format!("seal.{}", self.spec.id);
-        let headers = [("Request-Id", id.as_str()), ("Response-Seal", seal.as_str())];
+        let headers = [
+            ("Request-Id", id.as_str()),
+            ("Response-Seal", seal.as_str()),
+        ];
         http::respond(stream, 200, &headers, self.spec.service.as_bytes()).is_ok()
     }
 
@@ -394,7 +371,9 @@
         let state = self.state.lock().unwrap();
         let now = Instant::now();
         let is_loaded = state.has_model && state.model_ready_at.is_none_or(|at| at <= now);
-        let is_newest = req.header("expect-version").is_none_or(|version| version == "1");
+        let is_newest = req
+            .header("expect-version")
+            .is_none_or(|version| version == "1");
         is_loaded
             && match model.split_once('/') {
                 None => model == MODEL,
@@ -407,7 +386,9 @@
 
     fn stream(&self, req: &Request, id: &str, stream: &mut TcpStream) -> bool {
         let after = req.header("last-event-id").and_then(|v| v.parse().ok());
-        let usage = req.header("token-usage").and_then(|usage| usage.split_once(','));
+        let usage = req
+            .header("token-usage")
+            .and_then(|usage| usage.split_once(','));
         let output: Option<u32> = usage.and_then(|(_, output)| output.trim().parse().ok());
         let events = output.unwrap_or(4) / TOKENS_PER_EVENT;
         let head = format!(
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -93,7 +93,9 @@
     pub fn page_count(&self, prefix: &str, since: Instant) -> usize {
         let state = self.state.lock().unwrap();
         let pages = state.pages.iter();
-        pages.filter(|(known, _, at)| known == prefix && *at > since).count()
+        pages
+            .filter(|(known, _, at)| known == prefix && *at > since)
+            .count()
     }
 
     fn handle(&self, req: &Request, stream: &mut TcpStream) -> bool {
@@ -102,7 +104,9 @@
             "/dogwoodshunt/kv-key" => self.state.lock().unwrap().key(&param("key")),
             "/dogwoodshunt/kv-range" => {
                 let mut state = self.state.lock().unwrap();
-                state.pages.push((param("prefix"), param("after"), Instant::now()));
+                state
+                    .pages
+                    .push((param("prefix"), param("after"), Instant::now()));
                 self.changed.notify_all();
                 state.page(&param("prefix"), &param("after"))
             }
--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -217,7 +217,9 @@
     pub fn signal(&self, signal: &str) {
         self.record.note(&format!("{} gets SIG{signal}", self.name));
         let id = self.child.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+        let _ = Command::new("kill")
+            .args([&format!("-{signal}"), &id])
+            .status();
     }
 
     /// Returns the most memory that the process has held so far, in MB.
