--- a/review/standin/system.rs
+++ b/review/standin/system.rs
@@ -9,6 +9,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -18,6 +19,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// Distance between the numbers of a machine and of its agent's address behind a link.
 const BEHIND_LINK: u8 = 100;
 
@@ -133,7 +141,17 @@
             .expect("log file");
         let mut words = run.split(' ');
         let program = self.root.join(words.next().unwrap_or_default());
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        // The child ends with this program, also if that is killed.
+        // SAFETY: between fork and exec, `prctl` with these arguments only sets a field of the
+        // calling process; it takes no lock and allocates nothing.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL) {
+                0 => Ok(()),
+                _ => Err(std::io::Error::last_os_error()),
+            });
+        }
+        let child = command
             .args(words)
             .current_dir(&self.root)
             .env_clear()
