Refuse requests that are read late while an entry stops

Refused, it would have been served by another entry.

Cause: the only decision, made before the placement of a stream, compares 1.5 times the mean duration of the route's whole streams (zero if there is none) with the time left. It knows neither that a late request need not be accepted nor that its deadline bounds it. Calls of plain services had no decision.

Ruled out: the accept loop, the reading of the body, the engine.

Change: one decision for all requests, when they are read whole. While the process stops, a request whose deadline comes before the exit is accepted. Others are accepted by the forecast for 2.5 s after SIGTERM, as long as callers may be sent here, and refused after that.

--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -57,8 +57,9 @@
 /// Retry-after time sent to callers while no configuration is known yet.
 const STARTING_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Retry-after time sent to callers whose request is queued when the process exits.
-const EXIT_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Retry-after time sent to callers while this process is shutting down; a new
+/// connection reaches another process.
+const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Number of sends of one request that reached no upstream after which the
 /// request fails, each at another upstream. Such sends use no retry budget, since no
@@ -96,7 +97,7 @@
             self.sent += 1;
             self.lost_response_reason = Some("the entry has stopped".into());
         }
-        let not_run = NotRun::new(NotRunReason::Leaving, EXIT_RETRY_AFTER);
+        let not_run = NotRun::new(NotRunReason::Leaving, SHUTDOWN_RETRY_AFTER);
         self.refuse(not_run, Duration::ZERO)
     }
 
@@ -262,6 +263,10 @@
             .unwrap_or(route.timeout)
             .min(route.timeout);
         let deadline = call.arrived + timeout;
+        let shared_state = &self.shared_state;
+        if !shared_state.accepts_request(Instant::now(), &route.name, deadline) {
+            return CallResponse::NotRun(NotRun::new(NotRunReason::Leaving, SHUTDOWN_RETRY_AFTER));
+        }
         let destination = match self.find_destination(&call, route, deadline).await {
             Ok(Some(destination)) => destination,
             Ok(None) => return CallResponse::NoRoute,
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -43,10 +43,6 @@
 /// for which no grant arrived in time.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 
-/// Retry-after time sent to callers while this process is shutting down; a new
-/// connection reaches another process.
-const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(20);
-
 /// Time within which an engine gives a sign of life unless its host is frozen.
 const SIGN_OF_LIFE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -83,12 +79,6 @@
         routed: &Arc<RoutedCall>,
         history: &mut SendHistory,
     ) -> CallResponse {
-        if !self
-            .shared_state
-            .has_time_for_stream(Instant::now(), &routed.route.name)
-        {
-            return CallResponse::NotRun(NotRun::new(NotRunReason::Leaving, SHUTDOWN_RETRY_AFTER));
-        }
         let engine_response = self
             .run_on_engine(routed, history, routed.call.resume_after)
             .await;
--- a/crates/dogwoodshunt_gateway/src/control/shared_state.rs
+++ b/crates/dogwoodshunt_gateway/src/control/shared_state.rs
@@ -20,20 +20,34 @@
 /// Multiple of the mean duration within which most streams of a route end.
 const STREAM_DURATION_MARGIN: f64 = 1.5;
 
+/// Time after SIGTERM during which new connections are still accepted: the
+/// platform probes readiness once a second and removes an entry after two
+/// probes in a row that find it not ready.
+pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
+
 /// Routes in force, readiness, and the statistics by which an entry that is
-/// shutting down decides whether to accept a stream.
+/// shutting down decides whether to accept a request.
 #[derive(Debug, Default)]
 pub struct SharedState {
     routes: Mutex<Option<Arc<RouteTable>>>,
     upstreams_known: AtomicBool,
-    /// When the process exits; `None` until it shuts down.
-    exits_at: Mutex<Option<Instant>>,
+    /// Set when the process begins to shut down.
+    shutdown: Mutex<Option<Shutdown>>,
     /// Ends the requests in flight.
     exit: ExitSignal,
     /// Moving average of the duration of complete streams, by route.
     mean_stream_durations: Mutex<HashMap<Box<str>, Duration>>,
 }
 
+/// Times of a graceful shutdown.
+#[derive(Clone, Copy, Debug)]
+struct Shutdown {
+    /// Time until which requests are accepted that may last longer than the process.
+    drains_until: Instant,
+    /// When the process exits.
+    exits_at: Instant,
+}
+
 /// Channel that is closed when the requests in flight have to end.
 #[derive(Debug)]
 struct ExitSignal {
@@ -65,14 +79,17 @@
         self.upstreams_known.store(true, Ordering::Relaxed);
     }
 
-    /// Records that the process is shutting down and exits at `exits_at`.
-    pub fn set_shutting_down(&self, exits_at: Instant) {
-        *lock(&self.exits_at) = Some(exits_at);
+    /// Records that the process was told to stop at `stopped_at` and exits at `exits_at`.
+    pub fn set_shutting_down(&self, stopped_at: Instant, exits_at: Instant) {
+        *lock(&self.shutdown) = Some(Shutdown {
+            drains_until: stopped_at + DRAIN_DELAY,
+            exits_at,
+        });
     }
 
     /// Returns whether the process is shutting down.
     pub fn is_shutting_down(&self) -> bool {
-        lock(&self.exits_at).is_some()
+        lock(&self.shutdown).is_some()
     }
 
     /// Ends the requests in flight, since the process is about to exit.
@@ -92,15 +109,27 @@
         *mean = mean.mul_f64(1.0 - STREAM_MEAN_WEIGHT) + duration.mul_f64(STREAM_MEAN_WEIGHT);
     }
 
-    /// Returns whether a new stream of `route` is likely to end before the
-    /// process exits. A request that is refused at once can be sent to another
-    /// entry; a stream that is cut off cannot.
-    pub fn has_time_for_stream(&self, now: Instant, route: &str) -> bool {
-        let Some(exits_at) = *lock(&self.exits_at) else {
+    /// Returns whether a request that has been read whole is accepted.
+    ///
+    /// A request that is refused at once can be sent to another entry; a response that is cut off
+    /// cannot. While the process shuts down, a request is therefore accepted if it ends by its
+    /// `deadline` in any case. Until callers have been sent elsewhere, one that is likely to end in
+    /// time is accepted too.
+    pub fn accepts_request(&self, now: Instant, route: &str, deadline: Instant) -> bool {
+        let Some(Shutdown {
+            drains_until,
+            exits_at,
+        }) = *lock(&self.shutdown)
+        else {
             return true;
         };
+        deadline <= exits_at || (now < drains_until && self.is_likely_to_end(now, route, exits_at))
+    }
+
+    /// Returns whether most streams of `route` that begin at `now` end by `end`.
+    fn is_likely_to_end(&self, now: Instant, route: &str, end: Instant) -> bool {
         let mean = lock(&self.mean_stream_durations).get(route).copied();
-        now + mean.unwrap_or_default().mul_f64(STREAM_DURATION_MARGIN) < exits_at
+        now + mean.unwrap_or_default().mul_f64(STREAM_DURATION_MARGIN) < end
     }
 
     /// Returns whether this entry accepts requests: routes and upstreams are
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::control::ControlContext;
 use crate::control::ControlEvent;
 use crate::control::ControlSettings;
+use crate::control::shared_state::DRAIN_DELAY;
 use crate::control::shared_state::SharedState;
 use crate::metrics::Metrics;
 use crate::platform::RecordDecoder;
@@ -41,11 +42,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Time after SIGTERM during which new connections are still accepted: the
-/// platform probes readiness once a second and removes an entry after two
-/// probes in a row that find it not ready.
-const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
-
 /// Time before the end of the grace period at which the process exits even if
 /// requests are running, since its threads may have to wait for a CPU.
 const EXIT_MARGIN: Duration = Duration::from_millis(250);
@@ -275,7 +271,7 @@
     let _ = stop.recv().await;
     let stopped_at = Instant::now();
     let exits_at = stopped_at + settings.grace_period().saturating_sub(EXIT_MARGIN);
-    shared_state.set_shutting_down(exits_at);
+    shared_state.set_shutting_down(stopped_at, exits_at);
     let _ = events.send(ControlEvent::Stop).await;
     Timer::at(stopped_at + DRAIN_DELAY).await;
     drop(stop_listeners);
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -8,6 +8,7 @@
 mod reachability;
 mod records;
 mod restore;
+mod shutdown;
 mod sse;
 mod stream_origins;
 
@@ -637,26 +638,11 @@
 fn entry_is_ready_when_routes_and_upstreams_are_known() {
     let entry = TestEntry::new();
     assert!(entry.shared_state.is_ready());
-    entry.shared_state.set_shutting_down(entry.now);
+    entry.shared_state.set_shutting_down(entry.now, entry.now);
     assert!(!entry.shared_state.is_ready());
     assert!(!SharedState::default().is_ready());
 }
 
-#[test]
-fn entry_shutting_down_accepts_only_streams_expected_to_finish() {
-    let (shared_state, now) = (SharedState::default(), Instant::now());
-    for _ in 0..50 {
-        shared_state.record_stream_duration("short", Duration::from_millis(500));
-        shared_state.record_stream_duration("long", Duration::from_secs(6));
-    }
-    assert!(shared_state.has_time_for_stream(now, "long"));
-    shared_state.set_shutting_down(now + Duration::from_secs(8));
-    assert!(shared_state.has_time_for_stream(now, "short"));
-    assert!(!shared_state.has_time_for_stream(now, "long"));
-    assert!(shared_state.has_time_for_stream(now, "unknown"));
-    assert!(!shared_state.has_time_for_stream(now + Duration::from_secs(8), "short"));
-}
-
 /// All entries together share the rate of calls that the store allows.
 #[test]
 fn store_is_asked_as_seldom_as_its_time_limits_allow() {
--- /dev/null
+++ b/crates/dogwoodshunt_gateway/src/tests/shutdown.rs
@@ -0,0 +1,56 @@
+//! Requests that an entry which is shutting down accepts.
+
+use crate::control::shared_state::SharedState;
+use rstest::rstest;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time from SIGTERM to the exit.
+const EXITS_AFTER: Duration = Duration::from_millis(7_750);
+
+/// Returns the state of an entry that was told to stop at the returned time. Streams of the route
+/// `short` have lasted 0.5 s, those of `long` 6 s, and none of `unknown` has ended.
+fn stopping_entry() -> (SharedState, Instant) {
+    let (shared_state, now) = (SharedState::default(), Instant::now());
+    for _ in 0..50 {
+        shared_state.record_stream_duration("short", Duration::from_millis(500));
+        shared_state.record_stream_duration("long", Duration::from_secs(6));
+    }
+    assert!(shared_state.accepts_request(now, "long", now + Duration::from_secs(15)));
+    shared_state.set_shutting_down(now, now + EXITS_AFTER);
+    (shared_state, now)
+}
+
+#[test]
+fn entry_shutting_down_accepts_only_streams_expected_to_finish() {
+    let (shared_state, now) = stopping_entry();
+    let accepts = |after_ms, route| {
+        let now = now + Duration::from_millis(after_ms);
+        shared_state.accepts_request(now, route, now + Duration::from_secs(15))
+    };
+    assert!(accepts(0, "short"));
+    assert!(!accepts(0, "long"));
+    assert!(accepts(0, "unknown"));
+    assert!(!accepts(8_000, "short"));
+}
+
+/// Once callers have been sent elsewhere, a mean is no reason to accept a request: a stream that
+/// lasts longer would be cut off, while a refused one is served by another entry.
+#[rstest]
+#[case::of_a_known_route("short")]
+#[case::of_a_route_without_a_whole_stream("unknown")]
+fn request_read_late_is_accepted_only_if_it_ends_in_any_case(#[case] route: &str) {
+    let (shared_state, now) = stopping_entry();
+    for (read_after_ms, lasts_ms, expected) in [
+        (2_400, 15_000, true),
+        (3_300, 15_000, false),
+        (3_300, 4_400, true),
+        (3_300, 4_500, false),
+        (7_700, 40, true),
+    ] {
+        let now = now + Duration::from_millis(read_after_ms);
+        let deadline = now + Duration::from_millis(lasts_ms);
+        let accepted = shared_state.accepts_request(now, route, deadline);
+        assert_eq!(accepted, expected, "{read_after_ms} ms, {lasts_ms} ms");
+    }
+}
