Forecast again when a request is granted while its entry stops

Callers saw: a request that waited for an engine when its entry was told to stop was granted later and begun, whatever time was left, and its stream was cut at the exit.

Cause: the forecast was made once, before the placement. The time that a request waits for a grant, or until another upstream is tried after a refusal, was not in it.

Change: the forecast is made again before each send of a request that no upstream may have run; such a request is refused and another entry serves it. One that may have run goes on, since nothing is gained by ending it.

--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -75,7 +75,7 @@
     unreached: u32,
     /// Engines that the request has not reached, which are not selected for it again.
     excluded: Vec<UpstreamName>,
-    /// Engines that have refused the request.
+    /// Upstreams that have refused the request.
     refused_by: Vec<UpstreamName>,
     /// Why the response to a send that may have run was lost; `None` if no such
     /// send has occurred.
@@ -101,6 +101,11 @@
         self.refuse(not_run, Duration::ZERO)
     }
 
+    /// Returns whether an upstream may have run the request.
+    fn may_have_run(&self) -> bool {
+        self.sent as usize > self.refused_by.len()
+    }
+
     /// Returns the refusal of a request. If one of its sends may have run,
     /// returns [`CallResponse::Lost`] instead.
     fn refuse(&self, not_run: NotRun, useful_wait: Duration) -> CallResponse {
@@ -299,6 +304,22 @@
         self.placement_ids.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Checks that a run that begins now ends before the process exits, unless the request may
+    /// have run before: then no other entry can serve it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a request that another entry can serve.
+    fn check_time_for_run(&self, routed: &RoutedCall, history: &SendHistory) -> Result<(), NotRun> {
+        let has_time =
+            self.shared_state
+                .has_time_for_run(Instant::now(), &routed.route.name, routed.deadline);
+        match has_time || history.may_have_run() {
+            true => Ok(()),
+            false => Err(NotRun::new(NotRunReason::Leaving, SHUTDOWN_RETRY_AFTER)),
+        }
+    }
+
     /// Returns whether a request that has run or may have run may be sent
     /// again, and takes one retry from the budget if so.
     async fn may_repeat_run(&self, routed: &RoutedCall, history: &SendHistory) -> bool {
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -128,6 +128,7 @@
                 .await;
             let granted_at = Instant::now();
             let grant = grant_result
+                .and_then(|grant| self.check_time_for_run(routed, history).map(|()| grant))
                 .map_err(|not_run| history.refuse(not_run, self.useful_wait(routed, history)))?;
             history.stage = Stage::Response;
             history.upstream = Some(grant.upstream.clone());
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -87,6 +87,8 @@
                 let too_late = NotRun::new(NotRunReason::NoUpstream, REFUSED_RETRY_AFTER);
                 before_deadline.then_some(selected).ok_or(too_late)
             });
+            let selected = selected
+                .and_then(|selected| self.check_time_for_run(routed, history).map(|()| selected));
             let selected = match selected {
                 Ok(selected) => selected,
                 Err(not_run) => {
@@ -108,6 +110,7 @@
                 }
                 SendOutcome::Refused => {
                     history.sent += 1;
+                    history.refused_by.extend(history.upstream.clone());
                     refusal = NotRunReason::Overloaded;
                     self.may_resend(routed, history).await
                 }
--- a/crates/dogwoodshunt_gateway/src/control/shared_state.rs
+++ b/crates/dogwoodshunt_gateway/src/control/shared_state.rs
@@ -126,6 +126,15 @@
         deadline <= exits_at || (now < drains_until && self.is_likely_to_end(now, route, exits_at))
     }
 
+    /// Returns whether a run that begins at `now` ends before the process exits: because of its
+    /// `deadline`, or in all likelihood.
+    pub fn has_time_for_run(&self, now: Instant, route: &str, deadline: Instant) -> bool {
+        let shutdown = *lock(&self.shutdown);
+        shutdown.is_none_or(|Shutdown { exits_at, .. }| {
+            deadline <= exits_at || self.is_likely_to_end(now, route, exits_at)
+        })
+    }
+
     /// Returns whether most streams of `route` that begin at `now` end by `end`.
     fn is_likely_to_end(&self, now: Instant, route: &str, end: Instant) -> bool {
         let mean = lock(&self.mean_stream_durations).get(route).copied();
--- a/crates/dogwoodshunt_gateway/src/tests/shutdown.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/shutdown.rs
@@ -54,3 +54,17 @@
         assert_eq!(accepted, expected, "{read_after_ms} ms, {lasts_ms} ms");
     }
 }
+
+/// A request that is granted after SIGTERM has not run yet, so another entry can serve it.
+#[test]
+fn run_begins_only_if_it_is_expected_to_finish() {
+    let (shared_state, now) = stopping_entry();
+    let has_time = |after_ms, route, lasts_ms| {
+        let now = now + Duration::from_millis(after_ms);
+        shared_state.has_time_for_run(now, route, now + Duration::from_millis(lasts_ms))
+    };
+    assert!(has_time(5_000, "short", 15_000));
+    assert!(!has_time(5_000, "long", 15_000));
+    assert!(has_time(5_000, "long", 2_700));
+    assert!(!has_time(7_300, "short", 15_000));
+}
