End the requests of a stopping entry within short grace periods, too

Callers would see: with grace_ms at 2,750 or less, which the settings allow from 1,000 on, connections that are reset without an answer when the platform kills the entry.

Cause: the entry accepted connections for 2.5 s whatever the grace period was, and only then looked at its end. With 1 s the margin of 250 ms also put the exit before the last sixth of the grace period.

Change: one type plans the shutdown: connections are accepted until the exit at most, and the margin is an eighth of a short grace period.

With 8 s nothing changes.

--- a/crates/dogwoodshunt_gateway/src/control/shared_state.rs
+++ b/crates/dogwoodshunt_gateway/src/control/shared_state.rs
@@ -23,7 +23,14 @@
 /// Time after SIGTERM during which new connections are still accepted: the
 /// platform probes readiness once a second and removes an entry after two
 /// probes in a row that find it not ready.
-pub(crate) const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
+const DRAIN_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Maximum time before the end of the grace period at which the process exits even if
+/// requests are running, since its threads may have to wait for a CPU.
+const MAX_EXIT_MARGIN: Duration = Duration::from_millis(250);
+
+/// Part of a short grace period that is kept as the margin, so that requests run for most of it.
+const EXIT_MARGIN_DIVISOR: u32 = 8;
 
 /// Routes in force, readiness, and the statistics by which an entry that is
 /// shutting down decides whether to accept a request.
@@ -41,11 +48,25 @@
 
 /// Times of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
-struct Shutdown {
-    /// Time until which requests are accepted that may last longer than the process.
-    drains_until: Instant,
+pub struct Shutdown {
+    /// Time until which connections are accepted, and with them requests that may last longer than
+    /// the process.
+    pub drains_until: Instant,
     /// When the process exits.
-    exits_at: Instant,
+    pub exits_at: Instant,
+}
+
+impl Shutdown {
+    /// Plans the shutdown of a process that is told to stop at `stopped_at` and killed after
+    /// `grace_period`.
+    pub fn new(stopped_at: Instant, grace_period: Duration) -> Self {
+        let exit_margin = MAX_EXIT_MARGIN.min(grace_period / EXIT_MARGIN_DIVISOR);
+        let exits_at = stopped_at + grace_period.saturating_sub(exit_margin);
+        Self {
+            drains_until: exits_at.min(stopped_at + DRAIN_DELAY),
+            exits_at,
+        }
+    }
 }
 
 /// Channel that is closed when the requests in flight have to end.
@@ -79,12 +100,9 @@
         self.upstreams_known.store(true, Ordering::Relaxed);
     }
 
-    /// Records that the process was told to stop at `stopped_at` and exits at `exits_at`.
-    pub fn set_shutting_down(&self, stopped_at: Instant, exits_at: Instant) {
-        *lock(&self.shutdown) = Some(Shutdown {
-            drains_until: stopped_at + DRAIN_DELAY,
-            exits_at,
-        });
+    /// Records that the process is shutting down.
+    pub fn set_shutting_down(&self, shutdown: Shutdown) {
+        *lock(&self.shutdown) = Some(shutdown);
     }
 
     /// Returns whether the process is shutting down.
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -5,8 +5,8 @@
 use crate::control::ControlContext;
 use crate::control::ControlEvent;
 use crate::control::ControlSettings;
-use crate::control::shared_state::DRAIN_DELAY;
 use crate::control::shared_state::SharedState;
+use crate::control::shared_state::Shutdown;
 use crate::metrics::Metrics;
 use crate::platform::RecordDecoder;
 use crate::platform::UpstreamClient;
@@ -42,11 +42,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Time before the end of the grace period at which the process exits even if
-/// requests are running, since its threads may have to wait for a CPU.
-const EXIT_MARGIN: Duration = Duration::from_millis(250);
-
-/// Time in which the last responses leave the process before it exits; part of [`EXIT_MARGIN`].
+/// Time in which the last responses leave the process before it exits.
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
 
 /// Implementations that connect an entry to one platform.
@@ -257,7 +253,7 @@
 }
 
 /// Shuts the entry down gracefully once `stop` closes: reports not ready,
-/// accepts connections for [`DRAIN_DELAY`] longer, then waits for the requests
+/// accepts connections until [`Shutdown::drains_until`], then waits for the requests
 /// in flight. Returns whether all of them were answered before the grace period
 /// ended; the others end with it.
 async fn drain(
@@ -269,11 +265,10 @@
     connections_drained: Receiver<()>,
 ) -> bool {
     let _ = stop.recv().await;
-    let stopped_at = Instant::now();
-    let exits_at = stopped_at + settings.grace_period().saturating_sub(EXIT_MARGIN);
-    shared_state.set_shutting_down(stopped_at, exits_at);
+    let shutdown = Shutdown::new(Instant::now(), settings.grace_period());
+    shared_state.set_shutting_down(shutdown);
     let _ = events.send(ControlEvent::Stop).await;
-    Timer::at(stopped_at + DRAIN_DELAY).await;
+    Timer::at(shutdown.drains_until).await;
     drop(stop_listeners);
     let drained_by = async |deadline| {
         let drained = async {
@@ -286,11 +281,11 @@
         };
         drained.or(passed).await
     };
-    if drained_by(exits_at).await {
+    if drained_by(shutdown.exits_at).await {
         return true;
     }
     shared_state.end_requests();
-    drained_by(exits_at + LAST_RESPONSES_TIME).await;
+    drained_by(shutdown.exits_at + LAST_RESPONSES_TIME).await;
     false
 }
 
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -21,6 +21,7 @@
 use crate::control::RunEnd;
 use crate::control::SelectedUpstream;
 use crate::control::shared_state::SharedState;
+use crate::control::shared_state::Shutdown;
 use crate::metrics::Metrics;
 use crate::platform::DecodedRecord;
 use crate::platform::RecordDecoder;
@@ -638,7 +639,8 @@
 fn entry_is_ready_when_routes_and_upstreams_are_known() {
     let entry = TestEntry::new();
     assert!(entry.shared_state.is_ready());
-    entry.shared_state.set_shutting_down(entry.now, entry.now);
+    let shutdown = Shutdown::new(entry.now, Duration::ZERO);
+    entry.shared_state.set_shutting_down(shutdown);
     assert!(!entry.shared_state.is_ready());
     assert!(!SharedState::default().is_ready());
 }
--- a/crates/dogwoodshunt_gateway/src/tests/shutdown.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/shutdown.rs
@@ -1,12 +1,13 @@
 //! Requests that an entry which is shutting down accepts.
 
 use crate::control::shared_state::SharedState;
+use crate::control::shared_state::Shutdown;
 use rstest::rstest;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Time from SIGTERM to the exit.
-const EXITS_AFTER: Duration = Duration::from_millis(7_750);
+/// Grace period of the entry, which exits 250 ms before its end.
+const GRACE_PERIOD: Duration = Duration::from_secs(8);
 
 /// Returns the state of an entry that was told to stop at the returned time. Streams of the route
 /// `short` have lasted 0.5 s, those of `long` 6 s, and none of `unknown` has ended.
@@ -17,7 +18,7 @@
         shared_state.record_stream_duration("long", Duration::from_secs(6));
     }
     assert!(shared_state.accepts_request(now, "long", now + Duration::from_secs(15)));
-    shared_state.set_shutting_down(now, now + EXITS_AFTER);
+    shared_state.set_shutting_down(Shutdown::new(now, GRACE_PERIOD));
     (shared_state, now)
 }
 
@@ -68,3 +69,15 @@
     assert!(has_time(5_000, "long", 2_700));
     assert!(!has_time(7_300, "short", 15_000));
 }
+
+/// The exit lies within the last sixth of each grace period that the settings allow, and no
+/// connection is accepted after it.
+#[rstest]
+fn shutdown_fits_into_the_grace_period(#[values(1_000, 2_000, 8_000, 600_000)] grace_ms: u64) {
+    let (now, grace_period) = (Instant::now(), Duration::from_millis(grace_ms));
+    let shutdown = Shutdown::new(now, grace_period);
+    assert!(shutdown.exits_at >= now + grace_period * 5 / 6);
+    assert!(shutdown.exits_at < now + grace_period);
+    assert!(shutdown.drains_until <= shutdown.exits_at);
+    assert!(shutdown.drains_until <= now + Duration::from_millis(2_500));
+}
