Place model requests only at engines of their service

The same for two routes that exchange their services.

Cause: the router chose among all engines that have the base model. The service of a request was used for budgets only, and the service of an agent was set when its address was first seen and never again, although addresses are used again by other services.

Ruled out: the configuration (in force), the new engines' agents (connected).

Change: RouteRequest has a service, and both grants compare it. The service of an agent is that of the engine listed at its address; all engine services are synchronized in one pass, so that of two processes at an address the later one counts, whichever services list them. Since the list may be out of date, entries name the service to agents, and agents name it with each grant; an agent that names none is believed only for the listed name. Random candidates are drawn from the engines of the service.

In the gateway's tests agents granted runs in the name engine-x, which no record lists; they use the listed name now, except in grant_names_upstream_and_address_of_engine, which keeps engine-x.

--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -143,6 +143,7 @@
                 // A leaving engine accepts requests again only after a restart, so a
                 // later `false` is out of date.
                 known.leaving |= identity.leaving;
+                known.service = known.service.take().or(identity.service);
             }
             known => {
                 info!(self.context.log, "engine named"; "upstream" => %identity.name,
--- a/crates/dogwoodshunt_engine_agent/src/control/runs.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/runs.rs
@@ -112,6 +112,7 @@
             request,
             upstream: identity.name.clone(),
             started: self.engine.started_at(),
+            service: identity.service.clone(),
             target: running.target.clone(),
         };
         let link = run.link;
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -128,6 +128,7 @@
                 name: "engine-1".into(),
                 started: 100,
                 leaving: false,
+                service: Some("models".into()),
             }),
             engine: EngineConfig {
                 base_model: "base".into(),
@@ -339,6 +340,7 @@
             name: "engine-2".into(),
             started: 200,
             leaving: false,
+            service: Some("models".into()),
         });
     });
     agent.request_run("a", 7);
@@ -354,6 +356,7 @@
             name: "engine-2".into(),
             started: 200,
             leaving: false,
+            service: Some("models".into()),
         });
     });
     agent.request_run("a", 7);
--- a/crates/dogwoodshunt_entry/src/control/routing.rs
+++ b/crates/dogwoodshunt_entry/src/control/routing.rs
@@ -100,6 +100,7 @@
                 deadline: attempt_request.deadline,
                 excluded: &attempt_request.excluded,
                 demand: &Demand::default(),
+                service: None,
                 software: None,
             },
         );
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -20,6 +20,7 @@
 use dogwoodshunt_wire::frame::UpstreamProcess;
 use slog::info;
 use slog::warn;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -65,6 +66,7 @@
     address: SocketAddr,
     /// The address as text, by which all entries know the agent.
     address_text: Box<str>,
+    /// Service of the engine that was listed last.
     pub(super) service: ServiceName,
     /// Engine of the agent; `None` while it is not in the list of upstreams.
     upstream: Option<ListedUpstream>,
@@ -120,66 +122,70 @@
 }
 
 impl<D: RecordDecoder> Control<D> {
-    /// Connects to the agents of all listed engines of `service` and records
-    /// which engines are leaving or no longer listed.
+    /// Connects to the agents of all listed engines and records the service of each engine, which
+    /// engines are leaving and which are no longer listed.
     pub(super) fn sync_agents<'a>(
         &mut self,
         now: Instant,
-        service: &ServiceName,
         listed: impl Iterator<Item = &'a ListedUpstream>,
     ) {
-        let mut current: Vec<&ListedUpstream> = listed.collect();
-        // If two listed engines have the same address, the one that was started
-        // later is running, so it is applied last.
-        current.sort_by_key(|listed| listed.started);
-        for upstream in &current {
-            let agent = self.get_or_add_agent(now, service, upstream);
-            let Some(state) = self.agents.get_mut(&agent) else {
-                continue;
-            };
-            if state.upstream.as_ref() != Some(*upstream) {
-                // Another process has not asked for the pause of the one before.
-                self.router
-                    .set_paused_until(agent, self.pauses.end(upstream));
-                let limit = self.rate_limits.limit(&upstream.name, upstream.started);
-                self.router.set_rate_limited(agent, limit.is_some());
-                self.router
-                    .set_software(agent, upstream.software_identity());
-                let is_same_process = |known: &ListedUpstream| {
-                    (&known.name, known.started) == (&upstream.name, upstream.started)
-                };
-                if !state.upstream.as_ref().is_some_and(is_same_process) {
-                    self.router.forget_unreached(agent);
-                }
-                state.upstream = Some((*upstream).clone());
-                self.send_upstream_config(agent);
+        let mut running: BTreeMap<SocketAddr, &ListedUpstream> = BTreeMap::new();
+        for engine in listed {
+            // If two listed engines have the same address, also of two services, the one that was
+            // started later is running.
+            let known = running
+                .entry(self.agent_address_of(engine))
+                .or_insert(engine);
+            if known.started <= engine.started {
+                *known = engine;
             }
         }
-        let gone: Vec<AgentKey> = self
-            .agents
-            .iter()
-            .filter(|(_, state)| state.service == *service)
-            .filter(|(_, state)| {
-                let upstream = state.upstream.as_ref();
-                upstream.is_some_and(|u| !current.iter().any(|listed| listed.name == u.name))
-            })
-            .map(|(agent, _)| *agent)
-            .collect();
-        for agent in gone {
-            if let Some(state) = self.agents.get_mut(&agent) {
+        for (address, engine) in &running {
+            let agent = self.get_or_add_agent(now, *address, engine);
+            self.set_engine(agent, engine);
+        }
+        for state in self.agents.values_mut() {
+            if !running.contains_key(&state.address) {
                 state.upstream = None;
             }
         }
         self.update_leaving_agents();
     }
 
+    /// Records the listed engine of an agent.
+    fn set_engine(&mut self, agent: AgentKey, engine: &ListedUpstream) {
+        let Some(state) = self.agents.get_mut(&agent) else {
+            return;
+        };
+        if state.upstream.as_ref() == Some(engine) {
+            return;
+        }
+        // Another process has not asked for the pause of the one before.
+        self.router.set_paused_until(agent, self.pauses.end(engine));
+        let limit = self.rate_limits.limit(&engine.name, engine.started);
+        self.router.set_rate_limited(agent, limit.is_some());
+        self.router.set_service(agent, engine.service.clone());
+        self.router.set_software(agent, engine.software_identity());
+        let is_same_process =
+            |known: &ListedUpstream| (&known.name, known.started) == (&engine.name, engine.started);
+        if !state.upstream.as_ref().is_some_and(is_same_process) {
+            self.router.forget_unreached(agent);
+        }
+        state.service = engine.service.clone();
+        state.upstream = Some(engine.clone());
+        self.send_upstream_config(agent);
+    }
+
+    fn agent_address_of(&self, engine: &ListedUpstream) -> SocketAddr {
+        SocketAddr::new(engine.address.ip(), self.settings.agent_port)
+    }
+
     fn get_or_add_agent(
         &mut self,
         now: Instant,
-        service: &ServiceName,
-        upstream: &ListedUpstream,
+        address: SocketAddr,
+        engine: &ListedUpstream,
     ) -> AgentKey {
-        let address = SocketAddr::new(upstream.address.ip(), self.settings.agent_port);
         if let Some(agent) = self.agents_by_address.get(&address) {
             return *agent;
         }
@@ -187,7 +193,7 @@
         let state = AgentState {
             address,
             address_text: address.to_string().into(),
-            service: service.clone(),
+            service: engine.service.clone(),
             upstream: None,
             identity: None,
             tx: None,
@@ -293,13 +299,14 @@
                 request,
                 upstream,
                 started,
+                service,
                 target,
             } => {
                 let process = UpstreamProcess {
                     name: upstream,
                     started,
                 };
-                self.on_admitted(now, agent, request, process, target)
+                self.on_admitted(now, agent, request, (process, service), target)
             }
             Frame::Heartbeat(heartbeat) => self.on_heartbeat(now, agent, *heartbeat),
             Frame::Load(load) => {
@@ -468,6 +475,7 @@
             name: listed.name.clone(),
             started: listed.started,
             leaving: listed.leaving,
+            service: Some(listed.service.clone()),
         });
         let upstream_config = UpstreamConfig {
             revision: config.revision,
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -126,8 +126,12 @@
 }
 
 impl Placement {
-    /// Returns whether an engine runs a version of its software that may run the request.
+    /// Returns whether an engine belongs to the service of the request and runs a version of its
+    /// software that may run it.
     fn accepts(&self, engine: &ListedUpstream) -> bool {
+        if engine.service != self.req.service {
+            return false;
+        }
         let software = self.req.software.as_ref();
         software.is_none_or(|software| engine.software_identity().as_ref() == Some(software))
     }
@@ -250,6 +254,7 @@
                 deadline: Some(placement.req.useful_until),
                 excluded: &placement.excluded,
                 demand: &placement.req.demand,
+                service: Some(&*placement.req.service),
                 software: placement.req.software.as_deref(),
             },
         );
@@ -361,7 +366,7 @@
         now: Instant,
         agent: AgentKey,
         request: RequestId,
-        process: UpstreamProcess,
+        (process, service): (UpstreamProcess, Option<ServiceName>),
         target: Target,
     ) {
         let (placement_id, attempt) = split_request_id(request);
@@ -377,7 +382,7 @@
         // Another engine may have taken the place of the one that was asked for.
         let engine = self
             .engine_identity(agent)
-            .map(|listed| listed.as_seen(process.started));
+            .and_then(|listed| listed.as_seen(&process.name, process.started, service));
         let Some(engine) = engine.filter(|engine| pending.placement.accepts(engine)) else {
             self.send(agent, done_frame(request, RunEnd::Finished));
             self.try_next_agent(now, placement_id, pending);
--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -158,12 +158,15 @@
             return;
         };
         let listed: Vec<ListedUpstream> = self.registry.upstreams().cloned().collect();
-        for service in &route_table.config().services {
+        let config = route_table.config();
+        let is_engine = |listed: &&ListedUpstream| {
+            let service = config.service(&listed.service);
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        self.sync_agents(now, listed.iter().filter(is_engine));
+        let plain_services = config.services.iter().filter(|s| s.engine.is_none());
+        for service in plain_services {
             let of_service = listed.iter().filter(|l| l.service == service.name);
-            if service.engine.is_some() {
-                self.sync_agents(now, &service.name, of_service);
-                continue;
-            }
             let pool = self.pools.entry(service.name.clone()).or_default();
             for upstream in of_service {
                 pool.upsert(upstream, self.pauses.end(upstream));
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -8,6 +8,7 @@
 mod reachability;
 mod records;
 mod restore;
+mod services;
 mod shutdown;
 mod sse;
 mod stream_origins;
@@ -122,6 +123,11 @@
             Service {
                 name: "models".into(),
                 max_connections: 10,
+                engine: Some(engine.clone()),
+            },
+            Service {
+                name: "models-next".into(),
+                max_connections: 10,
                 engine: Some(engine),
             },
             Service {
@@ -259,10 +265,21 @@
         &mut self,
         adapter: &str,
         excluded: &[&str],
+    ) -> (u64, Receiver<Result<Grant, NotRun>>) {
+        self.place_with(adapter, |req| {
+            req.excluded = excluded.iter().map(|name| (*name).into()).collect();
+        })
+    }
+
+    /// Places a default request changed by `modify`.
+    fn place_with(
+        &mut self,
+        adapter: &str,
+        modify: impl FnOnce(&mut PlacementRequest),
     ) -> (u64, Receiver<Result<Grant, NotRun>>) {
         self.last_placement_id += 1;
         let (reply_tx, grant_rx) = async_channel::bounded(1);
-        let req = PlacementRequest {
+        let mut req = PlacementRequest {
             id: format!("q{}", self.last_placement_id).into(),
             fingerprint: self.last_placement_id,
             service: "models".into(),
@@ -270,10 +287,11 @@
             adapter: Some(adapter.into()),
             demand: Demand::default(),
             software: None,
-            excluded: excluded.iter().map(|name| (*name).into()).collect(),
+            excluded: Vec::new(),
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
+        modify(&mut req);
         let placement_id = self.last_placement_id;
         self.handle(ControlEvent::Place {
             placement_id,
@@ -304,11 +322,19 @@
         }
     }
 
+    /// Returns the name of the listed engine of an agent.
+    fn engine_of(&self, agent: AgentKey) -> UpstreamName {
+        let agents = self.control.agent_keys();
+        let index = agents.iter().position(|key| *key == agent).unwrap();
+        format!("engine-{}", index + 1).into()
+    }
+
     fn receive_admitted(&mut self, agent: AgentKey, admit: &Admit) {
         let frame = Frame::Admitted {
             request: admit.request,
-            upstream: "engine-x".into(),
+            upstream: self.engine_of(agent),
             started: self.admitted_started,
+            service: Some("models".into()),
             target: admit.target.clone(),
         };
         self.handle(ControlEvent::Frame { agent, frame });
@@ -392,7 +418,8 @@
     let (_, grant_rx) = entry.place("a");
     let (agent, admit) = entry.expect_admit();
     assert!(grant_rx.is_empty());
-    entry.receive_admitted(agent, &admit);
+    // The agent names the process that it sees, which need not be listed yet.
+    entry.admit_at(agent, &admit, "engine-x", Some("models"));
     let grant = grant_rx.try_recv().unwrap().unwrap();
     assert_eq!(&*grant.upstream, "engine-x");
     assert_eq!(grant.address.port(), 80);
--- a/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
@@ -162,7 +162,7 @@
             .collect::<Vec<_>>()
     };
     let engine = UpstreamProcess {
-        name: "engine-x".into(),
+        name: "engine-1".into(),
         started: 1,
     };
     assert_eq!(run(&mut entry, RunEnd::BrokenOff), [Some(engine)]);
--- a/crates/dogwoodshunt_gateway/src/tests/reachability.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/reachability.rs
@@ -14,12 +14,11 @@
     fn run(&mut self, end: RunEnd) -> AgentKey {
         let (placement_id, grant_rx) = self.place("a");
         let (agent, admit) = self.expect_admit();
-        let agents = self.control.agent_keys();
-        let index = agents.iter().position(|key| *key == agent).unwrap();
         let frame = Frame::Admitted {
             request: admit.request,
-            upstream: format!("engine-{}", index + 1).into(),
+            upstream: self.engine_of(agent),
             started: 0,
+            service: Some("models".into()),
             target: admit.target,
         };
         self.handle(ControlEvent::Frame { agent, frame });
--- a/crates/dogwoodshunt_load/src/scaling/cpu_time.rs
+++ b/crates/dogwoodshunt_load/src/scaling/cpu_time.rs
@@ -156,6 +156,7 @@
             deadline: None,
             excluded: &[],
             demand: &Demand::default(),
+            service: None,
             software: None,
         };
         if let Ok(agent) = router.route(now, &request) {
--- a/crates/dogwoodshunt_model/src/simulation.rs
+++ b/crates/dogwoodshunt_model/src/simulation.rs
@@ -271,6 +271,7 @@
                 deadline: Some(self.start + deadline),
                 excluded: &in_flight.excluded,
                 demand: &in_flight.request.demand,
+                service: None,
                 software: None,
             },
         );
--- a/crates/dogwoodshunt_routing/src/agent.rs
+++ b/crates/dogwoodshunt_routing/src/agent.rs
@@ -11,6 +11,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NodeId;
+use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::SoftwareVersion;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -57,6 +58,8 @@
     /// Whether the agent accepts no new requests, as announced by the agent itself
     /// or listed by the platform.
     pub leaving: bool,
+    /// Service that the engine of the agent belongs to; `None` if it is not known.
+    pub service: Option<ServiceName>,
     /// Version of the software of the engine of the agent; `None` if it is not known.
     pub software: Option<SoftwareVersion>,
     /// Whether requests of this entry reach the engine.
@@ -93,6 +96,7 @@
             domain: FailureDomain::default(),
             usable: false,
             leaving: false,
+            service: None,
             software: None,
             reachability: Reachability::default(),
             paused_until: None,
@@ -264,6 +268,11 @@
         (self.usable || self.unattended) && !self.leaving
     }
 
+    /// Returns whether the engine belongs to the given service; `None` stands for any.
+    pub fn is_of_service(&self, service: Option<&str>) -> bool {
+        service.is_none_or(|service| self.service.as_deref() == Some(service))
+    }
+
     /// Returns whether the engine runs the given version of its software; `None` stands for any.
     pub fn runs_software(&self, software: Option<&str>) -> bool {
         software.is_none_or(|software| self.software.as_deref() == Some(software))
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -23,6 +23,7 @@
 use dogwoodshunt_types::NodeId;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::NotRunReason;
+use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::invariant;
 use dogwoodshunt_types::invariant::Invariant;
@@ -52,6 +53,8 @@
     pub excluded: &'a [AgentKey],
     /// Prompt and output size of the request.
     pub demand: &'a Demand,
+    /// Service whose engines run the request; `None` if those of any service may.
+    pub service: Option<&'a str>,
     /// Version of the software that must run the request; `None` if any may.
     pub software: Option<&'a str>,
 }
@@ -142,6 +145,13 @@
         }
     }
 
+    /// Sets the service that the engine of the agent belongs to.
+    pub fn set_service(&mut self, key: AgentKey, service: ServiceName) {
+        if let Some(agent) = self.agents.get_mut(key) {
+            agent.service = Some(service);
+        }
+    }
+
     /// Sets the version of the software of the engine of the agent; `None` if it is not known.
     pub fn set_software(&mut self, key: AgentKey, software: Option<SoftwareVersion>) {
         if let Some(agent) = self.agents.get_mut(key) {
@@ -296,7 +306,10 @@
     /// could run it have asked for a pause or could not be reached, the caller may return when the
     /// first of them is tried again.
     fn no_agent_refusal(&self, now: Instant, req: &RouteRequest<'_>) -> NotRun {
-        let runs_software = |agent: &Agent| agent.runs_software(req.software) && !agent.leaving;
+        let runs_software = |agent: &Agent| {
+            let is_of_service = agent.is_of_service(req.service);
+            is_of_service && agent.runs_software(req.software) && !agent.leaving
+        };
         if req.software.is_some() && !self.agents.values().any(runs_software) {
             return NotRun::new(NotRunReason::SoftwareGone, NO_AGENT_RETRY_AFTER);
         }
@@ -330,6 +343,7 @@
         is_admissible
             && agent.accepts_requests()
             && agent.serves(req.target)
+            && agent.is_of_service(req.service)
             && agent.runs_software(req.software)
     }
 
@@ -410,14 +424,20 @@
 
     /// Returns the least loaded one of the random candidates that are eligible.
     fn sample(&mut self, now: Instant, req: &RouteRequest<'_>) -> Option<AgentKey> {
-        let count = self.agents.len();
+        let of_service = || {
+            let agents = self.agents.iter();
+            let agents = agents.filter(|(_, agent)| agent.is_of_service(req.service));
+            agents.map(|(key, _)| key)
+        };
+        let count = of_service().count();
         if count < self.settings.homes * MIN_AGENTS_PER_HOME {
             return None;
         }
-        let draws = (0..self.settings.random_candidates).map(|_| self.rng.random_range(0..count));
+        let rng = &mut self.rng;
+        let draws = (0..self.settings.random_candidates).map(|_| rng.random_range(0..count));
         let drawn: Vec<usize> = draws.collect();
         let drawn = drawn.into_iter();
-        let drawn = drawn.filter_map(|index| self.agents.keys().nth(index));
+        let drawn = drawn.filter_map(|index| of_service().nth(index));
         let eligible = drawn.filter(|key| self.is_eligible(now, *key, req));
         eligible.min_by(|a, b| {
             let load = |key| self.requests_per_place(now, key, req);
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -94,6 +94,7 @@
             deadline: None,
             excluded: &[],
             demand: &Demand::default(),
+            service: None,
             software: None,
         },
     )
@@ -142,6 +143,7 @@
             deadline,
             excluded: &[],
             demand: &demand,
+            service: None,
             software: None,
         };
         router.route(now, &req)
@@ -283,6 +285,7 @@
             deadline: Some(now + Duration::from_secs(1)),
             excluded: &[],
             demand: &Demand::default(),
+            service: None,
             software: None,
         },
     );
@@ -320,6 +323,7 @@
             deadline: None,
             excluded,
             demand: &Demand::default(),
+            service: None,
             software: None,
         };
         let key = router.route(now, &req).unwrap();
@@ -337,6 +341,71 @@
     assert_eq!(found, is_found);
 }
 
+/// Two services may have the same base model, and only one of them may run the request.
+#[test]
+fn request_is_routed_only_to_engines_of_its_service() {
+    let now = Instant::now();
+    // The engine of the other service is idle and has the adapter.
+    let (mut router, keys) = router(now, &[report(0, &["a"]), report(3, &[])]);
+    for (key, service) in keys.iter().zip(["models", "models-next"]) {
+        router.set_service(*key, service.into());
+    }
+    let (target, demand) = (target("a"), Demand::default());
+    let route = |router: &mut Router, service| {
+        let req = RouteRequest {
+            target: &target,
+            deadline: None,
+            excluded: &[],
+            demand: &demand,
+            service,
+            software: None,
+        };
+        router.route(now, &req)
+    };
+    assert_eq!(route(&mut router, Some("models")), Ok(keys[0]));
+    assert_eq!(route(&mut router, Some("models-next")), Ok(keys[1]));
+    assert_eq!(route(&mut router, None), Ok(keys[0]));
+    let refusal = route(&mut router, Some("none")).unwrap_err();
+    assert_eq!(refusal.reason, NotRunReason::NoUpstream);
+    // A pause at another service is no reason to come back later.
+    router.set_paused_until(keys[0], Some(now + Duration::from_secs(30)));
+    router.set_leaving(keys[1], true);
+    let refusal = route(&mut router, Some("models-next")).unwrap_err();
+    assert_eq!(refusal.reason, NotRunReason::NoUpstream);
+}
+
+/// The random candidates of a request come from its own service, however few of all engines that
+/// has.
+#[test]
+fn random_candidates_are_drawn_from_the_service_of_the_request() {
+    let now = Instant::now();
+    let settings = RouterSettings::builder()
+        .homes(1)
+        .random_candidates(2)
+        .build();
+    let reports: Vec<Report> = (0..100).map(|_| report(4, &[])).collect();
+    let (mut router, keys) = router_with(settings, now, &reports);
+    for (index, key) in keys.iter().enumerate() {
+        let service = if index < 4 { "models" } else { "models-next" };
+        router.set_service(*key, service.into());
+    }
+    let (target, demand) = (target("a"), Demand::default());
+    let req = RouteRequest {
+        target: &target,
+        deadline: None,
+        excluded: &[],
+        demand: &demand,
+        service: Some("models"),
+        software: None,
+    };
+    let mut chosen: Vec<AgentKey> = (0..200)
+        .map(|_| router.route(now, &req).expect("an engine"))
+        .collect();
+    chosen.sort_unstable();
+    chosen.dedup();
+    assert_eq!(chosen, keys[..4]);
+}
+
 #[test]
 fn stream_is_routed_only_to_engines_of_its_software_version() {
     let now = Instant::now();
@@ -352,6 +421,7 @@
             deadline: None,
             excluded,
             demand: &demand,
+            service: None,
             software: Some(software),
         };
         router.route(now, &req).map_err(|not_run| not_run.reason)
--- a/crates/dogwoodshunt_serving/src/registry.rs
+++ b/crates/dogwoodshunt_serving/src/registry.rs
@@ -45,16 +45,32 @@
 }
 
 impl ListedUpstream {
-    /// Returns the upstream as its agent sees it: if the process that runs is not the listed one, the
-    /// version of its software is not known. A start time of 0 is not known either.
-    pub fn as_seen(&self, started: UnixMillis) -> Self {
-        let is_other = started != 0 && self.started != 0 && started != self.started;
+    /// Returns the upstream at this address as its agent sees it. If the process that runs is not
+    /// the listed one, the version of its software is not known. A start time of 0 is not known
+    /// either.
+    ///
+    /// Returns `None` if the service of the process is not known: upstreams of other services use
+    /// the addresses of those that are gone, so for another name than the listed one only the
+    /// agent can name the service.
+    pub fn as_seen(
+        &self,
+        name: &str,
+        started: UnixMillis,
+        service: Option<ServiceName>,
+    ) -> Option<Self> {
+        let has_restarted = started != 0 && self.started != 0 && started != self.started;
         let mut seen = self.clone();
-        if is_other {
+        if has_restarted || *self.name != *name {
+            seen.name = name.into();
             seen.started = started;
             seen.software = None;
         }
-        seen
+        seen.service = match service {
+            Some(service) => service,
+            None if *self.name == *name => seen.service,
+            None => return None,
+        };
+        Some(seen)
     }
 
     /// Returns what tells apart the software of upstreams whose streams do not fit together: the
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -71,6 +71,9 @@
         /// Start time of the process of the upstream, as known to the agent; 0 if it is not.
         #[serde(default, skip_serializing_if = "is_default")]
         started: UnixMillis,
+        /// Service of the upstream; `None` if the agent does not know it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        service: Option<ServiceName>,
         /// Target that is loaded on the upstream; its version may be newer than the requested one.
         target: Target,
     },
@@ -286,6 +289,9 @@
     pub started: UnixMillis,
     /// Whether the upstream is leaving and accepts no new work.
     pub leaving: bool,
+    /// Service that the upstream belongs to; `None` from an older entry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceName>,
 }
 
 /// Base model and capacity of the engines of a service.
