Drop plain upstreams that are listed under another service

Callers would see: calls of a plain service that reach an upstream which another service has listed under the same id.

Cause: a pool kept each member whose name is listed at all, and added those of its own service.

Change: a pool keeps the members that are listed under its service.

Evidence: plain_upstream_that_changes_its_service_gets_no_calls_of_the_old_one failed before the change and passes after it.

--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -166,14 +166,14 @@
         self.sync_agents(now, listed.iter().filter(is_engine));
         let plain_services = config.services.iter().filter(|s| s.engine.is_none());
         for service in plain_services {
-            let of_service = listed.iter().filter(|l| l.service == service.name);
+            let of_service = || listed.iter().filter(|l| l.service == service.name);
             let pool = self.pools.entry(service.name.clone()).or_default();
-            for upstream in of_service {
+            for upstream in of_service() {
                 pool.upsert(upstream, self.pauses.end(upstream));
                 let limit = self.rate_limits.limit(&upstream.name, upstream.started);
                 pool.set_rate_limit(&upstream.name, upstream.started, limit);
             }
-            let is_listed = |name: &str| listed.iter().any(|l| *l.name == *name);
+            let is_listed = |name: &str| of_service().any(|l| *l.name == *name);
             pool.retain(is_listed);
         }
     }
--- a/crates/dogwoodshunt_gateway/src/tests/services.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/services.rs
@@ -210,3 +210,12 @@
     let refusal = grant_rx.try_recv().expect("a decision").unwrap_err();
     assert_eq!(refusal.reason, NotRunReason::NoUpstream);
 }
+
+/// Guards against calls to a plain upstream that is listed under another service by now.
+#[test]
+fn plain_upstream_that_changes_its_service_gets_no_calls_of_the_old_one() {
+    let mut entry = TestEntry::new();
+    assert!(entry.select_upstream().is_ok());
+    entry.put_record(Topic::Upstreams, "up/plain-1", "upstream unknown 9 ready 5");
+    assert!(entry.select_upstream().is_err());
+}
