Take the capacity of an engine from the service that it belongs to

Callers would see: where an engine of another service starts at the address of one that is gone, refusals, or orders and runs beyond what the new engine holds (LIMIT).

Cause: an agent put a configuration in force only if its revision was newer, whichever service it was of, and the base model of its engine was set once. An entry that named an earlier process could also bring the configuration of that one's service.

Change: the configuration comes with the name of the process that it is of. It is put in force when that process runs, if it is newer or of another service.

Evidence: capacity_is_that_of_the_service_of_the_running_engine failed before the change (base model, batch and slots of the service before), for a name that comes before or after the first report of the new process.

--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -4,7 +4,8 @@
 //! the start time of the engine but not its name; entries send the name and start
 //! time that the platform lists. The agent ignores a name whose start time differs
 //! from the reported one. Without a name the agent sends no orders and grants no runs,
-//! so that neither can reach an engine process they were not meant for.
+//! so that neither can reach an engine process they were not meant for. The capacity is that
+//! of the service of the named process: another service may have used the address before.
 
 use crate::control::Control;
 use crate::control::rate_limit::RateLimitState;
@@ -24,6 +25,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Epoch;
 use dogwoodshunt_types::Revision;
+use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::StoreEra;
 use dogwoodshunt_types::adapter;
 use dogwoodshunt_wire::frame::EngineConfig;
@@ -47,6 +49,30 @@
 /// prefixes that many requests have in common.
 const RUN_KV_SHARE: f64 = 0.9;
 
+/// An engine process as an entry names it, with the configuration of its service.
+struct NamedEngine {
+    identity: UpstreamIdentity,
+    revision: Revision,
+    config: EngineConfig,
+}
+
+/// Configured base model and capacity of the engine.
+struct KnownConfig {
+    /// Revision of the configuration.
+    revision: Revision,
+    /// Service that the configuration is of; `None` if no entry has named it.
+    service: Option<ServiceName>,
+    engine: EngineConfig,
+}
+
+impl KnownConfig {
+    /// Returns whether a configuration that an entry has sent takes the place of this one.
+    fn is_replaced_by(&self, revision: Revision, service: Option<&ServiceName>) -> bool {
+        let is_of_other_service = service.is_some() && self.service.as_ref() != service;
+        is_of_other_service || self.revision < revision
+    }
+}
+
 /// Reported, configured and declared state of the engine.
 pub(super) struct EngineState {
     /// Key of the engine in the scheduler, once its capacity is known.
@@ -54,15 +80,14 @@
     /// Upstream name and start time of the running engine process, once an entry has
     /// sent them.
     pub(super) identity: Option<UpstreamIdentity>,
-    /// Identity of a later process whose report has not arrived yet. Entries send an identity
-    /// once, as soon as the platform lists it.
-    next_identity: Option<UpstreamIdentity>,
+    /// A later process whose report has not arrived yet. Entries send an identity once, as soon
+    /// as the platform lists it.
+    next: Option<NamedEngine>,
     report: Option<EngineReport>,
     pub(super) rate_limit: RateLimitState,
     last_report_at: Instant,
-    /// Newest configured base model and capacity, with the revision of the
-    /// configuration.
-    config: Option<(Revision, EngineConfig)>,
+    /// Newest configuration of the service of the engine.
+    config: Option<KnownConfig>,
     /// Newest declared version of each adapter.
     declared_versions: HashMap<AdapterName, AdapterRef>,
     /// Highest era of the key-value service that a confirmation of the ownership or an entry
@@ -83,7 +108,7 @@
         Self {
             key: None,
             identity: None,
-            next_identity: None,
+            next: None,
             report: None,
             rate_limit: RateLimitState::default(),
             last_report_at: now,
@@ -113,31 +138,61 @@
 impl Control {
     /// Applies the upstream identity, capacity and versions that an entry sends.
     pub(super) fn on_upstream_config(&mut self, now: Instant, config: UpstreamConfig) {
-        if let Some(identity) = config.upstream {
-            self.on_identity(identity);
-        }
         self.on_store_era(config.store_era);
         for declared in config.versions {
             self.on_version_declared(declared);
         }
+        let (revision, engine) = (config.revision, config.engine);
+        match config.upstream {
+            Some(identity) => self.on_engine_named(
+                now,
+                NamedEngine {
+                    identity,
+                    revision,
+                    config: engine,
+                },
+            ),
+            None => self.set_config(now, revision, None, engine),
+        }
+        self.update_leaving();
+    }
+
+    /// Puts the configuration of the engine in force, unless a newer one of its service is known.
+    fn set_config(
+        &mut self,
+        now: Instant,
+        revision: Revision,
+        service: Option<ServiceName>,
+        engine: EngineConfig,
+    ) {
         let known = self.engine.config.as_ref();
-        if known.is_none_or(|(revision, _)| *revision < config.revision) {
-            self.engine.config = Some((config.revision, config.engine));
+        if known.is_none_or(|known| known.is_replaced_by(revision, service.as_ref())) {
+            self.engine.config = Some(KnownConfig {
+                revision,
+                service,
+                engine,
+            });
             self.apply_report(now);
         }
-        self.update_leaving();
     }
 
-    fn on_identity(&mut self, identity: UpstreamIdentity) {
+    fn on_engine_named(&mut self, now: Instant, named: NamedEngine) {
+        let identity = &named.identity;
         let started_at = self.engine.started_at();
         if identity.started != started_at && identity.started != 0 && started_at != 0 {
             // The identity belongs to another engine process: either the entry or the
             // report is out of date.
             if identity.started > started_at {
-                self.engine.next_identity = Some(identity);
+                self.engine.next = Some(named);
             }
             return;
         }
+        let NamedEngine {
+            identity,
+            revision,
+            config,
+        } = named;
+        let service = identity.service.clone();
         match &mut self.engine.identity {
             Some(known) if known.name == identity.name => {
                 // A leaving engine accepts requests again only after a restart, so a
@@ -151,6 +206,7 @@
                 *known = Some(identity);
             }
         }
+        self.set_config(now, revision, service, config);
     }
 
     fn on_version_declared(&mut self, declared: AdapterRef) {
@@ -211,8 +267,8 @@
         self.engine.accepted_orders = report.accepted_orders;
         self.engine.report = Some(report);
         self.apply_early_limit();
-        if let Some(identity) = self.engine.next_identity.take() {
-            self.on_identity(identity);
+        if let Some(named) = self.engine.next.take() {
+            self.on_engine_named(now, named);
         }
         self.apply_report(now);
         self.update_leaving();
@@ -240,15 +296,17 @@
     /// Passes the reported state to the scheduler, once the capacity of the engine
     /// is known.
     fn apply_report(&mut self, now: Instant) {
-        let (Some(report), Some((_, config))) = (&self.engine.report, &self.engine.config) else {
+        let (Some(report), Some(known)) = (&self.engine.report, &self.engine.config) else {
             return;
         };
+        let config = &known.engine;
         let kind = UpstreamKind::Engine {
             base_model: config.base_model.clone(),
         };
         let scheduler = &mut self.scheduler;
         let add = || scheduler.add_upstream("engine".into(), kind);
         let key = *self.engine.key.get_or_insert_with(add);
+        scheduler.set_base_model(key, &config.base_model);
         let has_base_model = report.base_models.contains(&config.base_model);
         let run_kv_tokens = (config.kv_tokens as f64 * RUN_KV_SHARE) as u64;
         let answer = ProbeResponse {
@@ -302,8 +360,8 @@
     }
 
     pub(super) fn order_base_model_load(&mut self, now: Instant) {
-        if let Some((_, config)) = &self.engine.config {
-            let base_model = config.base_model.clone();
+        if let Some(known) = &self.engine.config {
+            let base_model = known.engine.base_model.clone();
             self.send_order(now, Order::LoadBaseModel(base_model));
         }
     }
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod lost_requests;
 mod rate_limit;
+mod services;
 mod streams;
 
 use crate::EngineAgentSettings;
--- a/crates/dogwoodshunt_residency/src/scheduler.rs
+++ b/crates/dogwoodshunt_residency/src/scheduler.rs
@@ -79,6 +79,17 @@
         self.upstreams.insert(Upstream::new(name, kind))
     }
 
+    /// Sets the base model of an engine, in whose place one of another service may have started.
+    pub fn set_base_model(&mut self, key: UpstreamKey, base_model: &str) {
+        if let Some(upstream) = self.upstreams.get_mut(key)
+            && !upstream.is_engine_of(base_model)
+        {
+            upstream.kind = UpstreamKind::Engine {
+                base_model: base_model.into(),
+            };
+        }
+    }
+
     /// Returns all upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         self.upstreams.iter()
