Join a stream only with another stream of events

After a failure with another status the stream was cut although its route allowed one more attempt.

Cause: on_read_error looked at the status of the second answer alone, and tried one engine.

Change: an answer that is no stream of events is one more failed attempt. The stream goes on elsewhere if the route and the retry budget allow it.

Evidence: of joined_streams.rs, the cases of another content type failed before (the caller got the first event and "<p>no engine</p>", as complete) and the cases with more attempts failed; all pass after the change. Cases that held before: status 500, a content encoding, no signature.

--- a/crates/dogwoodshunt_border/src/http/stream_end.rs
+++ b/crates/dogwoodshunt_border/src/http/stream_end.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Returns whether the body is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        self.is_event_stream
+    }
+
     /// Reads the next bytes of the body.
     pub fn advance(&mut self, bytes: &[u8]) {
         if self.is_event_stream {
--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -284,40 +284,55 @@
     /// Resumes the stream on another engine and returns `None`, or ends the
     /// stream and returns the error.
     async fn on_read_error(&mut self, error: BodyError) -> Option<BodyError> {
-        let is_continuable = self.is_continuable();
-        let relay = &mut self.relay;
-        if let Some(mut guard) = relay.guard.take() {
+        if let Some(mut guard) = self.relay.guard.take() {
             guard.end = RunEnd::BrokenOff;
         }
-        if let Some(splitter) = &mut self.splitter
-            && is_continuable
-            && relay
-                .handler
-                .may_repeat_run(&relay.routed, &relay.history)
-                .await
-        {
-            let (after, _) = (splitter.last_id(), splitter.take_partial());
-            warn!(relay.handler.log, "resuming stream"; "id" => %relay.routed.call.id,
-                "after" => after, "cause" => %error,
+        if self.resume(&error).await {
+            return None;
+        }
+        self.is_finished = true;
+        self.relay.stats.outcome = "broken-off";
+        Some(error)
+    }
+
+    /// Runs the request again, after the last whole event, until an engine goes on with the stream.
+    /// Returns `false` if none does.
+    ///
+    /// The caller has the head of the first response, so an answer that is no stream of events, such
+    /// as that of a failure, is not for the caller.
+    async fn resume(&mut self, cause: &BodyError) -> bool {
+        let is_continuable = self.is_continuable() && self.relay.stats.end_check.is_event_stream();
+        let Some(splitter) = self.splitter.as_mut().filter(|_| is_continuable) else {
+            return false;
+        };
+        let (after, _) = (splitter.last_id(), splitter.take_partial());
+        let relay = &mut self.relay;
+        let (handler, routed) = (relay.handler.clone(), relay.routed.clone());
+        while handler.may_repeat_run(&routed, &relay.history).await {
+            warn!(handler.log, "resuming stream"; "id" => %routed.call.id,
+                "after" => after, "cause" => %cause,
                 "software" => relay.history.software.as_deref().unwrap_or(""));
-            let engine_response = relay
-                .handler
-                .run_on_engine(&relay.routed, &mut relay.history, after)
+            let engine_response = handler
+                .run_on_engine(&routed, &mut relay.history, after)
                 .await;
-            if let Ok(engine_response) = engine_response
-                && engine_response.exchange.status.is_success()
-            {
-                relay.stats.end_check = relay.routed.end_check(&engine_response.exchange);
-                relay.exchange = engine_response.exchange;
+            let Ok(engine_response) = engine_response else {
+                return false;
+            };
+            let exchange = engine_response.exchange;
+            let end_check = routed.end_check(&exchange);
+            if exchange.status.is_success() && end_check.is_event_stream() {
+                relay.stats.end_check = end_check;
+                relay.exchange = exchange;
                 relay.guard = Some(engine_response.guard);
                 relay.stats.resume_count += 1;
                 relay.software = engine_response.software;
-                return None;
+                return true;
             }
+            warn!(handler.log, "answer does not go on with the stream"; "id" => %routed.call.id,
+                "upstream" => relay.history.upstream.as_deref().unwrap_or(""),
+                "status" => exchange.status.as_u16());
         }
-        self.is_finished = true;
-        self.relay.stats.outcome = "broken-off";
-        Some(error)
+        false
     }
 }
 
