Check that a resumed stream goes on with the next event

Callers would see: events twice, or an event missing, where an engine goes on with a stream that another one broke off, as a whole stream (ORDER).

Cause: the ids of events were read to name the last one to the next engine, and never compared with what that engine sends. An event without an id left the one before it in force.

Change: the first event of a run must follow the last one before it, by one if the ids have risen by one so far. Anything else is one more failed attempt. No run goes on after an event without an id.

--- a/crates/dogwoodshunt_gateway/src/call/stream.rs
+++ b/crates/dogwoodshunt_gateway/src/call/stream.rs
@@ -274,11 +274,12 @@
         }
     }
 
-    /// Returns whether another engine may go on with the stream: its software version is known, or
-    /// nothing of it has been relayed.
+    /// Returns whether another engine may go on with the stream: its software version and its last
+    /// event are known, or nothing of it has been relayed.
     fn is_continuable(&self) -> bool {
         let is_begun = self.relay.stats.first_event_after.is_some();
-        !is_begun || self.relay.history.software.is_some()
+        let can_go_on = self.splitter.as_ref().is_some_and(EventSplitter::can_go_on);
+        !is_begun || (self.relay.history.software.is_some() && can_go_on)
     }
 
     /// Resumes the stream on another engine and returns `None`, or ends the
@@ -305,7 +306,8 @@
         let Some(splitter) = self.splitter.as_mut().filter(|_| is_continuable) else {
             return false;
         };
-        let (after, _) = (splitter.last_id(), splitter.take_partial());
+        let after = splitter.last_id();
+        splitter.begin_run();
         let relay = &mut self.relay;
         let (handler, routed) = (relay.handler.clone(), relay.routed.clone());
         while handler.may_repeat_run(&routed, &relay.history).await {
