Send streams that may be resumed without a stated length

Cause: the length in the head of the first answer went to the caller, and the server ends the body at that length.

Change: the length of a stream that may be resumed is not passed on, so that the caller gets chunks and the last one ends the stream.

Evidence: stream_of_a_stated_length_goes_on_whole failed before the change (the body ended inside the third event, as complete) and passes after it; the cases BreaksOffCounted that failed with it pass, too.

--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -30,6 +30,7 @@
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::Version;
+use hyper::header;
 use slog::info;
 use slog::warn;
 use smol::Timer;
@@ -88,9 +89,15 @@
         };
         let end_check = routed.end_check(&engine_response.exchange);
         let stats = StreamStats::new(engine_response.granted_at, routed, self, end_check);
+        let status = engine_response.exchange.status;
+        let mut headers = engine_response.exchange.headers.clone();
+        if routed.route.is_repeatable() && status.is_success() {
+            // The stream may go on at another engine, whose run has another length.
+            headers.remove(header::CONTENT_LENGTH);
+        }
         CallResponse::Upstream {
-            status: engine_response.exchange.status,
-            headers: engine_response.exchange.headers.clone(),
+            status,
+            headers,
             body: stream::relay_body(Relay {
                 handler: self.clone(),
                 routed: routed.clone(),
