Reset the connection of an HTTP/1.0 caller whose response breaks off

The callers of the platform use HTTP/1.1, where the last chunk is missing.

Cause: the server closed the connection in either case.

Change: the server resets the connection if the body of a response without chunks fails. rustix, which the workspace uses already, sets the option.

--- a/crates/dogwoodshunt_border/src/http/server.rs
+++ b/crates/dogwoodshunt_border/src/http/server.rs
@@ -4,9 +4,11 @@
 use crate::http::body::ResponseBody;
 use hyper::Request;
 use hyper::Response;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::net::sockopt::set_socket_linger;
 use smol::Executor;
 use smol::future::FutureExt;
 use smol::net::TcpListener;
@@ -17,6 +19,8 @@
 use std::future::Future;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Maximum number of headers of a request.
@@ -80,7 +84,10 @@
     handler: Arc<H>,
 ) {
     let _ = stream.set_nodelay(true);
+    let socket = stream.clone();
+    let frames_bodies = AtomicBool::new(true);
     let service = service_fn(|req| {
+        frames_bodies.store(req.version() >= Version::HTTP_11, Ordering::Relaxed);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(req).await) }
     });
@@ -93,15 +100,19 @@
     let mut connection = pin!(connection);
     let stopped = async {
         let _ = stop.recv().await;
-        true
+        None
     };
-    let ended = async {
-        let _ = connection.as_mut().await;
-        false
+    let ended = async { Some(connection.as_mut().await) };
+    let result = match stopped.or(ended).await {
+        Some(result) => result,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     };
-    if stopped.or(ended).await {
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+    if result.is_err() && !frames_bodies.load(Ordering::Relaxed) {
+        // A body without a frame ends with its connection, so only a reset tells that it broke off.
+        let _ = set_socket_linger(&socket, Some(Duration::ZERO));
     }
 }
 
