Ask a process that no agent has seen whether it is the listed one

Callers would see: a stream that holds events of two software versions (ORDER), if its engine had restarted under its name with another version, its agent was gone, and the entry's list was old (other operators' report: an entry out of step while runners of a new version join).

Cause: grant_unattended took the version from the list. Such a stream was recorded and told to agents at the version of a process that is gone, and streams of that version went on there. A grant that an entry reads after it has stood still may be as old.

Change: a grant says whether an agent has seen the listed process run. If not, and the stream may be resumed, the engine is asked for the start of its process once it has begun to answer; if that differs, the version is not known, and the stream is neither recorded nor joined with another.

--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -154,13 +154,18 @@
                 .await;
             let failure = match sent {
                 Ok(exchange) => {
-                    history.sent += 1;
-                    return Ok(EngineResponse {
-                        exchange,
-                        guard,
-                        granted_at,
-                        software: grant.software,
-                    });
+                    let software = self.software_of_run(routed, &grant).await;
+                    if history.software.is_none() || history.software == software {
+                        history.sent += 1;
+                        return Ok(EngineResponse {
+                            exchange,
+                            guard,
+                            granted_at,
+                            software,
+                        });
+                    }
+                    let reason = "another process has taken the place of the engine";
+                    SendFailure::MayHaveRun(reason.into())
                 }
                 Err(failure) => failure,
             };
@@ -324,6 +329,29 @@
         result
     }
 
+    /// Returns the version of the software that runs a request which its engine has begun to answer;
+    /// `None` if it is not known.
+    ///
+    /// A stream that may be resumed is bound to that version, so a process that no agent has seen
+    /// is asked whether it is the listed one.
+    async fn software_of_run(&self, routed: &RoutedCall, grant: &Grant) -> Option<SoftwareVersion> {
+        if grant.is_process_seen || !routed.route.is_repeatable() {
+            return grant.software.clone();
+        }
+        let started = self.upstream_client.process_started(grant.address);
+        let timed_out = async {
+            Timer::after(SIGN_OF_LIFE_TIMEOUT).await;
+            None
+        };
+        let started = started.or(timed_out).await;
+        if started == Some(grant.started) {
+            return grant.software.clone();
+        }
+        warn!(self.log, "process not confirmed"; "id" => %routed.call.id,
+            "upstream" => %grant.upstream, "listed" => grant.started, "started" => started);
+        None
+    }
+
     /// Waits until neither the agent nor the engine of a grant gives a sign of life, as if their
     /// host is frozen. An engine that answers while its agent is silent is not asked again.
     async fn host_falls_silent(&self, grant: &Grant) {
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -73,6 +73,7 @@
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::frame::StreamOrigin;
 use slog::Logger;
+use slog::warn;
 use smol::Timer;
 use smol::future::FutureExt;
 use std::collections::HashMap;
@@ -85,6 +86,12 @@
 /// arrives.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time without a check of due work after which the process counts as having stood still.
+const MAX_TICK_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time within which a process that stood still has read the frames that arrived meanwhile.
+const CATCH_UP_TIME: Duration = Duration::from_secs(3);
+
 /// Identifies one placement of a model request within this process.
 pub type PlacementId = u64;
 
@@ -282,6 +289,9 @@
     pending: HashMap<PlacementId, PendingPlacement>,
     granted_runs: HashMap<PlacementId, GrantedRun>,
     next_heartbeat_at: Instant,
+    last_tick_at: Instant,
+    /// When the process last went on after it had stood still.
+    resumed_at: Option<Instant>,
     shutting_down: bool,
     violations: ViolationMonitor,
 }
@@ -321,6 +331,8 @@
             pending: HashMap::new(),
             granted_runs: HashMap::new(),
             next_heartbeat_at: now,
+            last_tick_at: now,
+            resumed_at: None,
             shutting_down: false,
             violations: ViolationMonitor::default(),
         }
@@ -346,6 +358,7 @@
     }
 
     pub(crate) fn handle(&mut self, now: Instant, event: ControlEvent) {
+        self.note_pause(now);
         match event {
             ControlEvent::AgentDisconnected { agent } => {
                 self.on_agent_disconnected(now, agent, DisconnectCause::ConnectionClosed)
@@ -444,7 +457,24 @@
         }
     }
 
+    /// Notes that the process has stood still if no event was handled for [`MAX_TICK_PAUSE`].
+    fn note_pause(&mut self, now: Instant) {
+        let pause = now.saturating_duration_since(self.last_tick_at);
+        if pause >= MAX_TICK_PAUSE {
+            warn!(self.context.log, "process stood still"; "for_ms" => pause.as_millis() as u64);
+            self.resumed_at = Some(now);
+        }
+        self.last_tick_at = now;
+    }
+
+    /// Returns whether frames may still arrive that were sent while this process stood still.
+    pub(super) fn may_be_out_of_step(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < CATCH_UP_TIME;
+        self.resumed_at.is_some_and(is_recent)
+    }
+
     pub(crate) fn tick(&mut self, now: Instant) {
+        self.note_pause(now);
         self.violations.log_new_violations(&self.context.log);
         if self.registry.drop_expired(now) {
             self.sync_upstreams(now);
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -83,8 +83,11 @@
     pub address: SocketAddr,
     /// Start time of the upstream process.
     pub started: UnixMillis,
-    /// Version of the software of the upstream; `None` if it is not known.
+    /// Version of the software of the listed process; `None` if it is not known.
     pub software: Option<SoftwareVersion>,
+    /// Whether an agent has seen the listed process run. Otherwise another one may have started
+    /// under the name of the upstream since it was listed.
+    pub is_process_seen: bool,
     /// Model or adapter version that is ready on the upstream.
     pub target: Target,
     /// Id of this attempt in the frames exchanged with the agent.
@@ -323,6 +326,7 @@
             address: engine.address,
             started: engine.started,
             software,
+            is_process_seen: false,
             target,
             request,
             agent_silent,
@@ -389,6 +393,7 @@
             return;
         };
         let software = engine.software_identity();
+        let is_process_seen = !self.may_be_out_of_step(now);
         let (address, started) = (engine.address, engine.started);
         let rate_limited = self
             .router
@@ -399,6 +404,7 @@
             address,
             started,
             software,
+            is_process_seen,
             target,
             request,
             rate_limited,
--- a/crates/dogwoodshunt_gateway/src/platform.rs
+++ b/crates/dogwoodshunt_gateway/src/platform.rs
@@ -136,4 +136,10 @@
     /// Asks the engine at `address` for a sign of life, and waits until it answers or its
     /// connection fails. An engine that has no free place for requests answers, too.
     fn wait_for_sign_of_life(&self, address: SocketAddr) -> impl Future<Output = ()> + Send;
+
+    /// Asks the engine at `address` when its process started; `None` if it does not say.
+    fn process_started(
+        &self,
+        address: SocketAddr,
+    ) -> impl Future<Output = Option<UnixMillis>> + Send;
 }
--- a/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
@@ -201,6 +201,31 @@
 }
 
 /// The store is out of reach, so the list does not show that the engine has restarted.
+/// After the process has stood still, a grant may be older than the process of the engine.
+#[test]
+fn process_that_granted_a_run_while_the_entry_stood_still_counts_as_unseen() {
+    let mut entry = TestEntry::new();
+    let mut is_process_seen = |paused_for| {
+        let (_, grant_rx) = entry.place("a");
+        let (agent, admit) = entry.expect_admit();
+        entry.now += paused_for;
+        entry.receive_admitted(agent, &admit);
+        for agent in entry.control.agent_keys() {
+            entry.receive_heartbeat(agent, |_| {});
+        }
+        let grant = grant_rx.try_recv().expect("a decision").expect("a grant");
+        grant.is_process_seen
+    };
+    let millis = Duration::from_millis;
+    assert!(is_process_seen(millis(20)));
+    assert!(!is_process_seen(millis(4_000)));
+    assert!(!is_process_seen(millis(400)));
+    (0..10).for_each(|_| {
+        is_process_seen(millis(300));
+    });
+    assert!(is_process_seen(millis(20)));
+}
+
 #[test]
 fn stream_of_an_engine_that_has_restarted_under_its_name_is_not_recorded_at_the_listed_version() {
     let mut entry = TestEntry::new();
