--- a/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
@@ -200,7 +200,6 @@
     assert_eq!(refusal.reason, NotRunReason::SoftwareGone);
 }
 
-/// The store is out of reach, so the list does not show that the engine has restarted.
 /// After the process has stood still, a grant may be older than the process of the engine.
 #[test]
 fn process_that_granted_a_run_while_the_entry_stood_still_counts_as_unseen() {
@@ -226,6 +225,7 @@
     assert!(is_process_seen(millis(20)));
 }
 
+/// The store is out of reach, so the list does not show that the engine has restarted.
 #[test]
 fn stream_of_an_engine_that_has_restarted_under_its_name_is_not_recorded_at_the_listed_version() {
     let mut entry = TestEntry::new();
