Watch the store from the position of a listing, not of its newest record

Cause: PrefixWatcher put the position of a listing forward to the highest revision of its records.

Change: the watch goes on from the position that the client gives, which is that of the first page. What later pages had already is reported again and applied in the order of revisions.

--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -12,6 +12,7 @@
 mod shutdown;
 mod sse;
 mod stream_origins;
+mod watch;
 
 use crate::control::Control;
 use crate::control::ControlContext;
--- a/crates/dogwoodshunt_gateway/src/watch.rs
+++ b/crates/dogwoodshunt_gateway/src/watch.rs
@@ -1,8 +1,8 @@
 //! Watches the operators' records and the list of upstreams in the platform's
 //! store.
 //!
-//! A prefix is listed once and watched from then on. Each watch request resumes
-//! after the last change received, not at the store's present revision: a store
+//! A prefix is listed once and watched from the position of the listing on. Each watch
+//! request resumes after the last change received, not at the store's present revision: a store
 //! that delivers no changes for a while may still have applied some. If the store
 //! has compacted the revisions after that change, or was restored from an older
 //! copy since, the prefix is listed again.
@@ -78,11 +78,9 @@
             let Some(listing) = self.report_result(listed, &mut failures).await else {
                 continue;
             };
+            // Records of later pages may be newer than the position. What was written meanwhile
+            // under keys of earlier pages is reported only from the position on.
             let mut after = listing.position;
-            advance(
-                &mut after,
-                listing.records.iter().map(|record| record.mod_revision),
-            );
             if !self.send_listing(listing).await {
                 return;
             }
