Keep a slot free for a load without an answer that may come late

Cause: id, fencing token and the number of orders may all match after a restart, so nothing in an order tells the process that it was meant for from its successor.

Change: the agent remembers loads without an answer and the process that they were sent to, and keeps a slot of every later process free for each of them, for 20 s.

--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -8,6 +8,7 @@
 //! of the service of the named process: another service may have used the address before.
 
 use crate::control::Control;
+use crate::control::late_loads::LateLoads;
 use crate::control::rate_limit::RateLimitState;
 use crate::engine::EngineReport;
 use crate::engine::Order;
@@ -27,6 +28,7 @@
 use dogwoodshunt_types::Revision;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::StoreEra;
+use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::adapter;
 use dogwoodshunt_wire::frame::EngineConfig;
 use dogwoodshunt_wire::frame::UpstreamConfig;
@@ -34,6 +36,7 @@
 use slog::info;
 use slog::warn;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
@@ -101,6 +104,10 @@
     /// Number of orders that the engine has accepted since its start, including those
     /// still in the channel to the worker.
     accepted_orders: u64,
+    /// Start times of the processes that the orders without an outcome so far were sent to, the
+    /// oldest order first.
+    pending_orders: VecDeque<UnixMillis>,
+    late_loads: LateLoads,
 }
 
 impl EngineState {
@@ -118,6 +125,8 @@
             verified_era: 0,
             epoch: None,
             accepted_orders: 0,
+            pending_orders: VecDeque::new(),
+            late_loads: LateLoads::default(),
         }
     }
 
@@ -308,6 +317,8 @@
         let key = *self.engine.key.get_or_insert_with(add);
         scheduler.set_base_model(key, &config.base_model);
         let has_base_model = report.base_models.contains(&config.base_model);
+        let late_loads = self.engine.late_loads.count_of_others(now, report.started);
+        let slots = to_usize(config.slots).saturating_sub(late_loads);
         let run_kv_tokens = (config.kv_tokens as f64 * RUN_KV_SHARE) as u64;
         let answer = ProbeResponse {
             boot: report.started,
@@ -315,7 +326,7 @@
                 kv_tokens: run_kv_tokens,
                 max_concurrent_loads: MAX_CONCURRENT_LOADS,
                 single_version: true,
-                ..Limits::new(to_usize(config.slots), to_usize(config.batch))
+                ..Limits::new(slots, to_usize(config.batch))
             },
             has_base_model,
             resident: report.adapters.clone(),
@@ -377,7 +388,7 @@
             let answer = OrderAnswer::Refused(
                 "engine has no known upstream name or is not owned by this agent".into(),
             );
-            return self.on_order_answered(now, &order, &answer);
+            return self.apply_outcome(now, &order, &answer);
         };
         let order_request = OrderRequest {
             order,
@@ -389,16 +400,28 @@
         // The worker sends orders one at a time and in order, so the engine has
         // accepted the orders in the channel before it gets a later one.
         self.engine.accepted_orders += 1;
+        let started = self.engine.started_at();
+        self.engine.pending_orders.push_back(started);
         // The worker holds its end of the unbounded channel as long as this state
         // exists, so the send cannot fail.
         let _ = self.context.orders_tx.try_send(order_request);
     }
 
+    /// Applies the answer to the oldest order that the worker has not reported on before.
+    pub(super) fn on_order_answered(&mut self, now: Instant, order: &Order, answer: &OrderAnswer) {
+        let sent_to = self.engine.pending_orders.pop_front();
+        let is_load = matches!(order, Order::LoadAdapter(_));
+        if let (Some(sent_to), true, OrderAnswer::Lost(_)) = (sent_to, is_load, answer) {
+            self.engine.late_loads.add(now, sent_to);
+        }
+        self.apply_outcome(now, order, answer);
+    }
+
     /// Applies the result of an order.
     ///
     /// A load or unload that may have failed leaves the adapter in an unknown state
     /// until the next report.
-    pub(super) fn on_order_answered(&mut self, now: Instant, order: &Order, answer: &OrderAnswer) {
+    fn apply_outcome(&mut self, now: Instant, order: &Order, answer: &OrderAnswer) {
         self.context.metrics.count_order(answer.as_str());
         if *answer == OrderAnswer::Fenced {
             self.engine.epoch = None;
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -8,6 +8,7 @@
 
 mod crashes;
 mod engine;
+mod late_loads;
 mod links;
 mod lost_requests;
 mod rate_limit;
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -2,6 +2,7 @@
 //! a network.
 
 mod crashes;
+mod late_orders;
 mod lost_requests;
 mod rate_limit;
 mod services;
