Send agents the list of declared versions in frames of a bounded size

Cause, one for both: each connection and each declared version made the entry send the versions of all adapters in one frame of 450 KB. On a slow link an agent got no whole frame for four heartbeat intervals and gave the entry up; for each version, the control thread built the list for each agent.

Change: an agent that connects gets 500 versions a frame, the next one when it has echoed the heartbeat after the one before. What is declared later is sent alone, in one frame for each answer of the store. The frames are those of before, so an earlier release of the agent understands them.

Evidence: the four tests of tests/versions.rs failed before the change and pass after it.

--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -2,14 +2,18 @@
 //! that this entry sends them.
 
 use crate::control::Control;
+use crate::control::versions::VersionsSent;
 use crate::platform::RecordDecoder;
 use async_channel::Sender;
 use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_serving::registry::ListedUpstream;
+use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::Revision;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::StreamId;
 use dogwoodshunt_wire::Frame;
+use dogwoodshunt_wire::frame::EngineConfig;
 use dogwoodshunt_wire::frame::Heartbeat;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::frame::ObservedRateLimit;
@@ -79,6 +83,8 @@
     last_received_heartbeat: u64,
     /// Whether the agent has reported that it is shutting down.
     leaving: bool,
+    /// Which declared versions were sent on the present connection.
+    pub(super) versions_sent: VersionsSent,
     /// When the agent disconnected, while its engine still receives requests.
     unattended_since: Option<Instant>,
     /// Dropping the task closes the connection and stops reconnection.
@@ -98,6 +104,11 @@
         &self.address_text
     }
 
+    /// Returns the number of the next heartbeat to the agent.
+    pub(super) fn next_heartbeat(&self) -> u64 {
+        self.last_sent_heartbeat + 1
+    }
+
     /// Returns the name of the listed engine of the agent.
     pub(super) fn engine_name(&self) -> Option<&str> {
         self.upstream.as_ref().map(|upstream| &*upstream.name)
@@ -201,6 +212,7 @@
             last_sent_heartbeat: 0,
             last_received_heartbeat: 0,
             leaving: false,
+            versions_sent: VersionsSent::None,
             unattended_since: None,
             _connector: self.connect(agent, address),
         };
@@ -229,6 +241,7 @@
         state.tx = Some(tx);
         state.last_frame_at = now;
         state.leaving = false;
+        state.versions_sent = VersionsSent::None;
         state.unattended_since = None;
         self.router.set_node(agent, identity.node);
         self.router.set_domain(agent, identity.domain);
@@ -342,6 +355,10 @@
             return;
         };
         state.last_received_heartbeat = heartbeat.number;
+        self.send_next_versions(now, agent, heartbeat.echo);
+        let Some(state) = self.agents.get_mut(&agent) else {
+            return;
+        };
         if state.leaving != heartbeat.leaving {
             info!(self.context.log, "agent leaving"; "agent" => %state.address,
                 "leaving" => heartbeat.leaving);
@@ -459,16 +476,28 @@
             .for_each(|agent| self.send_upstream_config(agent));
     }
 
-    /// Sends an agent the configuration that applies to its engine.
-    fn send_upstream_config(&self, agent: AgentKey) {
-        let (Some(state), Some(route_table)) =
-            (self.agents.get(&agent), self.context.shared_state.routes())
-        else {
+    /// Sends an agent the configuration that applies to its engine, and the first declared versions
+    /// on a new connection.
+    fn send_upstream_config(&mut self, agent: AgentKey) {
+        let versions = self.first_versions(agent);
+        self.send_versions(agent, versions);
+    }
+
+    /// Returns the configuration that applies to the engine of an agent, with its revision; `None`
+    /// if no configuration is known or the service has no engines.
+    pub(super) fn engine_config(&self, state: &AgentState) -> Option<(Revision, EngineConfig)> {
+        let route_table = self.context.shared_state.routes()?;
+        let config = route_table.config();
+        let service = config.service(&state.service)?;
+        Some((config.revision, service.engine.clone()?))
+    }
+
+    /// Sends an agent declared versions, with the configuration that applies to its engine.
+    pub(super) fn send_versions(&self, agent: AgentKey, versions: Vec<AdapterRef>) {
+        let Some(state) = self.agents.get(&agent) else {
             return;
         };
-        let config = route_table.config();
-        let service = config.service(&state.service);
-        let Some(engine) = service.and_then(|service| service.engine.clone()) else {
+        let Some((revision, engine)) = self.engine_config(state) else {
             return;
         };
         let upstream = state.upstream.as_ref().map(|listed| UpstreamIdentity {
@@ -478,10 +507,10 @@
             service: Some(listed.service.clone()),
         });
         let upstream_config = UpstreamConfig {
-            revision: config.revision,
+            revision,
             upstream,
             engine,
-            versions: self.declared_versions.values().cloned().collect(),
+            versions,
             store_era: self.store_era,
         };
         self.send(agent, Frame::UpstreamConfig(Box::new(upstream_config)));
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -19,6 +19,7 @@
 pub mod shared_state;
 mod store;
 mod stream_origins;
+mod versions;
 
 pub use crate::control::placement::Grant;
 pub use crate::control::placement::PlacementRequest;
@@ -76,6 +77,7 @@
 use slog::warn;
 use smol::Timer;
 use smol::future::FutureExt;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -279,7 +281,9 @@
     request_quarantine: RequestQuarantine,
     stream_memory: StreamMemory,
     stream_lookups: Lookups<AgentKey, OriginSender>,
-    declared_versions: HashMap<AdapterName, AdapterRef>,
+    declared_versions: BTreeMap<AdapterName, AdapterRef>,
+    /// Declared versions that agents have not been told of.
+    new_versions: Vec<AdapterRef>,
     /// Highest era of the store that a listing has shown.
     store_era: StoreEra,
     /// Era of the store in which the configuration in force was read.
@@ -323,7 +327,8 @@
             request_quarantine: RequestQuarantine::default(),
             stream_memory: StreamMemory::default(),
             stream_lookups: Lookups::default(),
-            declared_versions: HashMap::new(),
+            declared_versions: BTreeMap::new(),
+            new_versions: Vec::new(),
             store_era: 0,
             config_era: 0,
             entries,
--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -28,6 +28,7 @@
                 for record in &listing.records {
                     self.on_operator_record(record);
                 }
+                self.send_new_versions();
             }
             Topic::Upstreams => {
                 let records = listing.records.iter();
@@ -74,6 +75,7 @@
                 }
             }
         }
+        self.send_new_versions();
         self.sync_upstreams(now);
     }
 
@@ -135,9 +137,9 @@
             return;
         }
         info!(self.context.log, "version declared"; "adapter" => %declared);
+        self.new_versions.push(declared.clone());
         self.declared_versions
             .insert(declared.name.clone(), declared);
-        self.send_upstream_config_to_all();
     }
 
     fn decode_upstream(&self, record: &Record) -> Option<ListedUpstream> {
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -12,6 +12,7 @@
 mod shutdown;
 mod sse;
 mod stream_origins;
+mod versions;
 mod watch;
 
 use crate::control::Control;
