Count only the first placement of a request for the retry budget

Cause: each placement of a model request counted as a request of the service, and so earned a part of a further retry. Calls of plain services counted once.

Change: a placement says whether the request was placed before.

Evidence: only_the_first_placement_of_a_request_earns_a_retry failed before the change and passes after it.

--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -254,6 +254,7 @@
             demand,
             software: history.software.clone(),
             excluded: history.excluded.clone(),
+            is_repeat: history.sent + history.unreached > 0,
             slo_deadline: routed.call.arrived + routed.route.latency_objective,
             useful_until,
         };
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -319,7 +319,7 @@
                     name: upstream,
                     started,
                 };
-                self.on_admitted(now, agent, request, (process, service), target)
+                self.on_admitted(now, agent, request, process, service, target)
             }
             Frame::Heartbeat(heartbeat) => self.on_heartbeat(now, agent, *heartbeat),
             Frame::Load(load) => {
@@ -355,10 +355,6 @@
             return;
         };
         state.last_received_heartbeat = heartbeat.number;
-        self.send_next_versions(now, agent, heartbeat.echo);
-        let Some(state) = self.agents.get_mut(&agent) else {
-            return;
-        };
         if state.leaving != heartbeat.leaving {
             info!(self.context.log, "agent leaving"; "agent" => %state.address,
                 "leaving" => heartbeat.leaving);
@@ -381,6 +377,7 @@
             self.router.set_usable(agent, true);
             self.router.set_unattended(agent, false);
         }
+        self.send_next_versions(now, agent, heartbeat.echo);
         self.update_leaving_agents();
     }
 
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -68,6 +68,8 @@
     pub software: Option<SoftwareVersion>,
     /// Engines that the request has not reached.
     pub excluded: Vec<UpstreamName>,
+    /// Whether the request was placed before.
+    pub is_repeat: bool,
     /// Time after which the first byte misses the latency objective of the route.
     pub slo_deadline: Instant,
     /// Time after which the first byte is of no use to the caller.
@@ -211,7 +213,9 @@
         req: PlacementRequest,
         reply_tx: Sender<Result<Grant, NotRun>>,
     ) {
-        self.retry_budgets.on_request(&req.service);
+        if !req.is_repeat {
+            self.retry_budgets.on_request(&req.service);
+        }
         if let Some(not_run) = self.quarantine_refusal(now, &req) {
             // The receiver is dropped if the caller has disconnected.
             let _ = reply_tx.try_send(Err(not_run));
@@ -370,7 +374,8 @@
         now: Instant,
         agent: AgentKey,
         request: RequestId,
-        (process, service): (UpstreamProcess, Option<ServiceName>),
+        process: UpstreamProcess,
+        service: Option<ServiceName>,
         target: Target,
     ) {
         let (placement_id, attempt) = split_request_id(request);
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -14,6 +14,7 @@
 mod stream_origins;
 mod versions;
 mod watch;
+mod watch_only;
 
 use crate::control::Control;
 use crate::control::ControlContext;
@@ -290,6 +291,7 @@
             demand: Demand::default(),
             software: None,
             excluded: Vec::new(),
+            is_repeat: false,
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
@@ -688,3 +690,30 @@
     assert_eq!(asked_every(2_000, 2_000), (millis(1_800), millis(700)));
     assert_eq!(asked_every(4_000, 4_000), (millis(3_600), millis(1_400)));
 }
+
+/// Guards against repeats that earn further repeats.
+#[test]
+fn only_the_first_placement_of_a_request_earns_a_retry() {
+    let mut entry = TestEntry::new();
+    let may_retry = |entry: &mut TestEntry| {
+        let (reply_tx, decision_rx) = async_channel::bounded(1);
+        entry.handle(ControlEvent::TakeRetry {
+            service: "models".into(),
+            fingerprint: 0,
+            reply_tx,
+        });
+        decision_rx.try_recv().unwrap()
+    };
+    let (_, _grant_rx) = entry.place("a");
+    // The budget begins empty with the new limits.
+    entry.handle(ControlEvent::SettingsChanged {
+        retry_ratio: 1.0,
+        retry_slack: 10.0,
+    });
+    let (_, _grant_rx) = entry.place("a");
+    for _ in 0..3 {
+        let (_, _grant_rx) = entry.place_with("a", |req| req.is_repeat = true);
+    }
+    assert!(may_retry(&mut entry));
+    assert!(!may_retry(&mut entry));
+}
--- a/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
@@ -31,6 +31,7 @@
             },
             software: None,
             excluded: Vec::new(),
+            is_repeat: false,
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
--- a/crates/dogwoodshunt_gateway/src/tests/restore.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/restore.rs
@@ -2,19 +2,17 @@
 
 use super::TestEntry;
 use super::record;
+use super::watch_only::WatchOnly;
+use super::watch_only::Watched;
+use super::watch_only::not_answered;
 use crate::control::ControlEvent;
 use crate::watch::PrefixWatcher;
 use crate::watch::Topic;
 use dogwoodshunt_border::kv::KeyChange;
-use dogwoodshunt_border::kv::Kv;
 use dogwoodshunt_border::kv::KvError;
-use dogwoodshunt_border::kv::LeaseId;
 use dogwoodshunt_border::kv::Listing;
-use dogwoodshunt_border::kv::Op;
-use dogwoodshunt_border::kv::Precondition;
 use dogwoodshunt_border::kv::Record;
 use dogwoodshunt_border::kv::StorePosition;
-use dogwoodshunt_border::kv::WatchKv;
 use dogwoodshunt_border::kv::WatchOutcome;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_runtime::telemetry;
@@ -83,54 +81,22 @@
 }
 
 /// Store that answers from a script.
-struct ScriptedKv {
+struct ScriptedStore {
     listings: Mutex<Vec<Listing>>,
     watch_outcomes: Mutex<Vec<WatchOutcome>>,
     watched_after: Mutex<Vec<StorePosition>>,
 }
 
-fn script_ended(step: &'static str) -> KvError {
-    KvError::Unavailable {
-        step,
-        message: "the script has ended".into(),
-    }
-}
-
-impl Kv for ScriptedKv {
-    async fn range(&self, step: &'static str, _: &str, _: &str) -> Result<Vec<Record>, KvError> {
-        Err(script_ended(step))
-    }
-
-    async fn txn(
-        &self,
-        step: &'static str,
-        _: Vec<Precondition>,
-        _: Vec<Op>,
-    ) -> Result<bool, KvError> {
-        Err(script_ended(step))
-    }
-
-    async fn lease(&self, step: &'static str, _: u64) -> Result<LeaseId, KvError> {
-        Err(script_ended(step))
-    }
-}
-
-impl WatchKv for ScriptedKv {
-    async fn list(&self, step: &'static str, _: &str) -> Result<Listing, KvError> {
+impl Watched for ScriptedStore {
+    fn list(&self) -> Result<Listing, KvError> {
         let listing = self.listings.lock().unwrap().pop();
-        listing.ok_or_else(|| script_ended(step))
+        listing.ok_or_else(not_answered)
     }
 
-    async fn watch(
-        &self,
-        step: &'static str,
-        _: &str,
-        after: StorePosition,
-        _: Duration,
-    ) -> Result<WatchOutcome, KvError> {
+    fn watch(&self, after: StorePosition) -> Result<WatchOutcome, KvError> {
         self.watched_after.lock().unwrap().push(after);
         let outcome = self.watch_outcomes.lock().unwrap().pop();
-        outcome.ok_or_else(|| script_ended(step))
+        outcome.ok_or_else(not_answered)
     }
 }
 
@@ -140,14 +106,14 @@
         records: Vec::new(),
         position: StorePosition { era, revision },
     };
-    let kv = Arc::new(ScriptedKv {
+    let kv = Arc::new(WatchOnly(ScriptedStore {
         listings: Mutex::new(vec![listing(2, 40), listing(1, 50)]),
         watch_outcomes: Mutex::new(vec![
             WatchOutcome::Restored { era: 2 },
             WatchOutcome::Changes(vec![KeyChange::Put(record("op/config", "config 2", 60))]),
         ]),
         watched_after: Mutex::default(),
-    });
+    }));
     let (events, event_rx) = async_channel::unbounded();
     let watcher = PrefixWatcher {
         kv: kv.clone(),
@@ -176,7 +142,7 @@
     assert_eq!(smol::block_on(smol::future::or(listed_eras, watch)), [1, 2]);
     let position = |era, revision| StorePosition { era, revision };
     assert_eq!(
-        kv.watched_after.lock().unwrap()[..],
+        kv.0.watched_after.lock().unwrap()[..],
         [position(1, 50), position(1, 60), position(2, 40)]
     );
 }
--- a/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
@@ -62,6 +62,7 @@
             demand: Demand::default(),
             software: Some(software.into()),
             excluded: Vec::new(),
+            is_repeat: false,
             slo_deadline: self.now + Duration::from_secs(1),
             useful_until: self.now + Duration::from_secs(2),
         };
--- a/crates/dogwoodshunt_gateway/src/tests/watch.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/watch.rs
@@ -1,18 +1,15 @@
 //! What an entry believes of a store that is written to between the pages of a listing.
 
+use super::watch_only::WatchOnly;
+use super::watch_only::Watched;
 use crate::control::ControlEvent;
 use crate::watch::PrefixWatcher;
 use crate::watch::Topic;
 use dogwoodshunt_border::kv::KeyChange;
-use dogwoodshunt_border::kv::Kv;
 use dogwoodshunt_border::kv::KvError;
-use dogwoodshunt_border::kv::LeaseId;
 use dogwoodshunt_border::kv::Listing;
-use dogwoodshunt_border::kv::Op;
-use dogwoodshunt_border::kv::Precondition;
 use dogwoodshunt_border::kv::Record;
 use dogwoodshunt_border::kv::StorePosition;
-use dogwoodshunt_border::kv::WatchKv;
 use dogwoodshunt_border::kv::WatchOutcome;
 use dogwoodshunt_runtime::telemetry;
 use rand::RngExt;
@@ -79,9 +76,9 @@
 }
 
 /// Store with pages that are no snapshot, which others write to between all answers.
-struct PagedKv(Mutex<StoreState>);
+struct PagedStore(Mutex<StoreState>);
 
-impl PagedKv {
+impl PagedStore {
     fn new(seed: u64, records: usize, writes: usize) -> Self {
         let mut state = StoreState {
             revision: 1,
@@ -106,34 +103,8 @@
     }
 }
 
-fn unused(step: &'static str) -> KvError {
-    KvError::Unavailable {
-        step,
-        message: "not called here".into(),
-    }
-}
-
-impl Kv for PagedKv {
-    async fn range(&self, step: &'static str, _: &str, _: &str) -> Result<Vec<Record>, KvError> {
-        Err(unused(step))
-    }
-
-    async fn txn(
-        &self,
-        step: &'static str,
-        _: Vec<Precondition>,
-        _: Vec<Op>,
-    ) -> Result<bool, KvError> {
-        Err(unused(step))
-    }
-
-    async fn lease(&self, step: &'static str, _: u64) -> Result<LeaseId, KvError> {
-        Err(unused(step))
-    }
-}
-
-impl WatchKv for PagedKv {
-    async fn list(&self, _: &'static str, _: &str) -> Result<Listing, KvError> {
+impl Watched for PagedStore {
+    fn list(&self) -> Result<Listing, KvError> {
         let mut state = self.0.lock().unwrap();
         let mut listing = Listing::default();
         listing.position.revision = state.revision;
@@ -151,13 +122,7 @@
         }
     }
 
-    async fn watch(
-        &self,
-        _: &'static str,
-        _: &str,
-        after: StorePosition,
-        _: Duration,
-    ) -> Result<WatchOutcome, KvError> {
+    fn watch(&self, after: StorePosition) -> Result<WatchOutcome, KvError> {
         let mut state = self.0.lock().unwrap();
         state.write_at_random();
         if after.revision < state.compacted {
@@ -174,7 +139,7 @@
 
 /// Reads `events` until the store has nothing new, and returns the values that they show.
 async fn believed(
-    kv: &PagedKv,
+    kv: &PagedStore,
     event_rx: &async_channel::Receiver<ControlEvent>,
 ) -> BTreeMap<Box<str>, Vec<u8>> {
     let mut believed = BTreeMap::new();
@@ -212,7 +177,7 @@
     #[values(1, 2, 3, 4, 5, 6)] pages: usize,
 ) {
     for seed in 0..100 {
-        let kv = Arc::new(PagedKv::new(seed, pages * PAGE_SIZE, 24));
+        let kv = Arc::new(WatchOnly(PagedStore::new(seed, pages * PAGE_SIZE, 24)));
         let (events, event_rx) = async_channel::bounded(1);
         let watcher = PrefixWatcher {
             kv: kv.clone(),
@@ -227,7 +192,7 @@
             watcher.run().await;
             future::pending().await
         };
-        let believed = smol::block_on(future::or(believed(&kv, &event_rx), watch));
-        assert_eq!(believed, kv.values(), "seed {seed}");
+        let believed = smol::block_on(future::or(believed(&kv.0, &event_rx), watch));
+        assert_eq!(believed, kv.0.values(), "seed {seed}");
     }
 }
