--- a/crates/dogwoodshunt_border/src/tests/partial_heads.rs
+++ b/crates/dogwoodshunt_border/src/tests/partial_heads.rs
@@ -23,8 +23,8 @@
 use std::time::Duration;
 
 /// A head with everything that a caller would need to take an empty response for a whole one.
-const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nRequest-Id: q\r\n\
-                    Response-Seal: seal\r\nContent-Type: text/event-stream\r\n\r\n";
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Call: q\r\n\
+                    X-Signature: s\r\nContent-Type: text/event-stream\r\n\r\n";
 
 /// As [`HEAD`], after an interim response.
 const HEAD_AFTER_INTERIM: &str = "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n\
@@ -32,7 +32,7 @@
 
 /// As [`HEAD`], for a body that ends with its connection.
 const HEAD_WITHOUT_LENGTH: &str =
-    "HTTP/1.0 200 OK\r\nRequest-Id: q\r\nResponse-Seal: seal\r\nContent-Type: text/plain\r\n\r\n";
+    "HTTP/1.0 200 OK\r\nX-Call: q\r\nX-Signature: s\r\nContent-Type: text/plain\r\n\r\n";
 
 /// A whole response to an earlier request of the same connection.
 const EARLIER: &str = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nearlier";
