Identify callers by the keys of workspaces

The configuration may contain workspaces with keys, a priority and a quota, and routes that need no key. An entry finds the workspace of a request by the digest of its key, refuses an unknown key with 401, and passes the name of the workspace, but not the key, to the upstream. The priority of a workspace replaces that of the route. Requests for admission carry the workspace and the longest gap between events that counts as on time; nothing uses them yet.

A configuration without workspaces is served as before.

Tests of the touched crates pass; not yet measured on a deployment.

--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -170,6 +170,8 @@
                 base_model: "base".into(),
             },
             demand: Demand::default(),
+            workspace: None,
+            max_event_gap: None,
             due_in: Duration::from_secs(1),
             time_left: Duration::from_secs(3),
             started: false,
--- a/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
@@ -28,6 +28,8 @@
                 parts: parts.collect(),
                 ..Demand::default()
             },
+            workspace: None,
+            max_event_gap: None,
             due_in: Duration::from_secs(1),
             time_left: Duration::from_secs(3),
             started: false,
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -42,6 +42,8 @@
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_workspaces::CallerIdentity;
+use dogwoodshunt_workspaces::KeyDigest;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::StatusCode;
@@ -156,6 +158,8 @@
     /// Id of the caller's request whose response brought the first event of the stream, if the
     /// caller names it.
     pub resumes: Option<Box<str>>,
+    /// Digest of the key by which the caller identifies itself; `None` if the request has none.
+    pub key: Option<KeyDigest>,
 }
 
 /// Response to a caller's request.
@@ -171,6 +175,8 @@
     },
     /// No route matches the request.
     NoRoute,
+    /// The route is not public and the key of the request belongs to no workspace.
+    UnknownKey,
     /// The request is malformed, for the given reason.
     Malformed(Box<str>),
     /// The request has not run and will not run.
@@ -188,12 +194,20 @@
     fingerprint: RequestFingerprint,
     route: Arc<Route>,
     service: ServiceName,
+    caller: CallerIdentity,
     /// When the response must be complete: the earlier of the caller's and the
     /// route's time limit.
     deadline: Instant,
 }
 
 impl RoutedCall {
+    /// Returns the rank of the request; 0 is the most urgent.
+    fn rank(&self) -> u8 {
+        let workspace = self.caller.workspace();
+        let rank = workspace.and_then(|workspace| workspace.rank);
+        rank.unwrap_or(self.route.rank)
+    }
+
     /// Returns the check of the end of a response to the request.
     fn end_check(&self, exchange: &Exchange) -> StreamEndCheck {
         let is_stream_route = matches!(self.route.kind, RouteKind::Stream { .. });
@@ -263,6 +277,9 @@
         fingerprint: RequestFingerprint,
         history: &mut SendHistory,
     ) -> CallResponse {
+        let Some(caller) = route_table.identify(route, call.key.as_ref()) else {
+            return CallResponse::UnknownKey;
+        };
         let timeout = call
             .caller_timeout
             .unwrap_or(route.timeout)
@@ -287,6 +304,7 @@
             call,
             route: route.clone(),
             service,
+            caller,
         });
         match (&routed.call.model, has_engines) {
             (Some(_), true) => self.serve_model_request(&routed, history).await,
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -244,13 +244,15 @@
         };
         let useful_until = Instant::now() + useful_wait;
         let mut demand = model.demand.clone();
-        demand.rank = routed.route.rank;
+        demand.rank = routed.rank();
         let req = PlacementRequest {
             id: routed.call.id.clone(),
             fingerprint: routed.fingerprint,
             service: routed.service.clone(),
             base_model: model.base_model.clone(),
             adapter: model.adapter.clone(),
+            workspace: routed.caller.workspace().map(|w| w.name.clone()),
+            max_event_gap: routed.route.max_event_gap(),
             demand,
             software: history.software.clone(),
             excluded: history.excluded.clone(),
@@ -292,10 +294,11 @@
             started: grant.started,
             version: adapter_version(&grant.target),
             time_left,
-            rank: routed.route.rank,
+            rank: routed.rank(),
             resume_after,
             rate_limited: grant.rate_limited,
             refused_before,
+            caller: routed.caller.clone(),
         };
         let sent = async { Ok(self.upstream_client.send(&routed.call, &dispatch).await) };
         let timeout = async {
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -203,11 +203,12 @@
             started: selected.started,
             version: None,
             time_left: routed.deadline.saturating_duration_since(now),
-            rank: routed.route.rank,
+            rank: routed.rank(),
             resume_after: None,
             rate_limited: selected.rate_limited,
             // No call is sent to an upstream twice.
             refused_before: false,
+            caller: routed.caller.clone(),
         };
         let mut guard = CallGuard {
             service: routed.service.clone(),
--- a/crates/dogwoodshunt_gateway/src/call/record.rs
+++ b/crates/dogwoodshunt_gateway/src/call/record.rs
@@ -86,6 +86,7 @@
         let (outcome, detail) = match &response {
             CallResponse::Upstream { status, .. } => ("answered", status.as_str().into()),
             CallResponse::NoRoute => ("no-route", path.into()),
+            CallResponse::UnknownKey => ("unknown-key", Box::default()),
             CallResponse::Malformed(reason) => ("malformed", reason.clone()),
             CallResponse::NotRun(not_run) => {
                 self.take_up_refusal = match not_run.reason {
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -27,6 +27,7 @@
 use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::WorkspaceName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Admit;
 use dogwoodshunt_wire::frame::UpstreamProcess;
@@ -62,6 +63,11 @@
     pub base_model: Box<str>,
     /// Requested adapter, if any.
     pub adapter: Option<AdapterName>,
+    /// Workspace of the caller, if any.
+    pub workspace: Option<WorkspaceName>,
+    /// Longest gap between two events of the response that counts as on time; `None` if the
+    /// response is not a stream.
+    pub max_event_gap: Option<Duration>,
     /// Work that the request causes on an engine.
     pub demand: Demand,
     /// Version of the engine's software that must run the request; `None` if any may.
@@ -184,6 +190,8 @@
     target: Target,
     request: RequestId,
     demand: Demand,
+    workspace: Option<WorkspaceName>,
+    max_event_gap: Option<Duration>,
     slo_deadline: Instant,
     useful_until: Instant,
     /// Closed when the agent falls silent before the engine answers.
@@ -286,6 +294,8 @@
             request: self.request_id(placement_id, pending.placement.attempt),
             target: pending.placement.target.clone(),
             demand: req.demand.clone(),
+            workspace: req.workspace.clone(),
+            max_event_gap: req.max_event_gap,
             due_in: req.slo_deadline.saturating_duration_since(now),
             time_left: req.useful_until.saturating_duration_since(now),
             started: false,
@@ -358,6 +368,8 @@
             target: placement.target,
             request: grant.request,
             demand: placement.req.demand,
+            workspace: placement.req.workspace,
+            max_event_gap: placement.req.max_event_gap,
             slo_deadline: placement.req.slo_deadline,
             useful_until: placement.req.useful_until,
             agent_silent,
@@ -559,6 +571,8 @@
                     request: run.request,
                     target: run.target.clone(),
                     demand: run.demand.clone(),
+                    workspace: run.workspace.clone(),
+                    max_event_gap: run.max_event_gap,
                     due_in: run.slo_deadline.saturating_duration_since(now),
                     time_left: run.useful_until.saturating_duration_since(now),
                     started: true,
--- a/crates/dogwoodshunt_gateway/src/platform.rs
+++ b/crates/dogwoodshunt_gateway/src/platform.rs
@@ -11,6 +11,7 @@
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
 use dogwoodshunt_types::Version;
+use dogwoodshunt_workspaces::CallerIdentity;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -68,6 +69,9 @@
     /// Whether the upstream has refused the call before. A late copy of that refusal would bear the
     /// id of the call, so the call is sent on a connection of its own.
     pub refused_before: bool,
+    /// Whom the call comes from. Unless callers are unidentified, the upstream learns only the name
+    /// of the workspace and never the key of the caller.
+    pub caller: CallerIdentity,
 }
 
 /// Whether an upstream executes a call, according to the head of its response.
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -145,6 +145,7 @@
             head_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
+        workspaces: None,
     }
 }
 
@@ -288,6 +289,8 @@
             service: "models".into(),
             base_model: "base".into(),
             adapter: Some(adapter.into()),
+            workspace: None,
+            max_event_gap: None,
             demand: Demand::default(),
             software: None,
             excluded: Vec::new(),
--- a/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
@@ -197,6 +197,7 @@
         model: None,
         resume_after: None,
         resumes: None,
+        key: None,
     }
 }
 
--- a/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/quarantine.rs
@@ -25,6 +25,8 @@
             service: "models".into(),
             base_model: "base".into(),
             adapter: Some("a".into()),
+            workspace: None,
+            max_event_gap: None,
             demand: Demand {
                 parts: parts.collect(),
                 ..Demand::default()
--- a/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/stream_origins.rs
@@ -59,6 +59,8 @@
             service: "models".into(),
             base_model: "base".into(),
             adapter: Some("a".into()),
+            workspace: None,
+            max_event_gap: None,
             demand: Demand::default(),
             software: Some(software.into()),
             excluded: Vec::new(),
--- a/crates/dogwoodshunt_serving/src/config.rs
+++ b/crates/dogwoodshunt_serving/src/config.rs
@@ -5,6 +5,10 @@
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::rendezvous;
 use dogwoodshunt_wire::frame::EngineConfig;
+use dogwoodshunt_workspaces::CallerIdentity;
+use dogwoodshunt_workspaces::KeyDigest;
+use dogwoodshunt_workspaces::Workspace;
+use dogwoodshunt_workspaces::WorkspaceTable;
 use serde::Deserialize;
 use serde::Serialize;
 use std::collections::HashMap;
@@ -62,6 +66,9 @@
     /// included. A send that reached no upstream does not count.
     #[serde(rename = "attempts")]
     pub max_attempts: u32,
+    /// Whether callers need no key.
+    #[serde(default, rename = "public")]
+    pub is_public: bool,
     /// Services among which the requests are divided.
     #[serde(rename = "shares")]
     pub weighted_services: Vec<WeightedService>,
@@ -95,6 +102,15 @@
         services.any(|weighted| weighted.weight > 0 && *weighted.service == *service)
     }
 
+    /// Returns the maximum gap between two events of a response that counts as on time; `None` if
+    /// responses are not streams.
+    pub fn max_event_gap(&self) -> Option<Duration> {
+        match self.kind {
+            RouteKind::Stream { max_event_gap, .. } => Some(max_event_gap),
+            RouteKind::Idempotent | RouteKind::AtMostOnce => None,
+        }
+    }
+
     /// Returns whether a request may be sent again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
@@ -141,6 +157,10 @@
     pub services: Vec<Service>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Workspaces, to one of which each caller of a route that is not public belongs; `None` if
+    /// callers do not identify themselves to this system.
+    #[serde(default)]
+    pub workspaces: Option<Vec<Workspace>>,
 }
 
 impl Config {
@@ -156,6 +176,7 @@
     config: Config,
     /// Routes of each host, the longest prefix first.
     by_host: HashMap<Box<str>, Vec<Arc<Route>>>,
+    workspaces: WorkspaceTable,
 }
 
 impl RouteTable {
@@ -170,7 +191,25 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
         }
-        Self { config, by_host }
+        let workspaces = config.workspaces.as_deref().unwrap_or_default();
+        Self {
+            workspaces: WorkspaceTable::new(workspaces),
+            config,
+            by_host,
+        }
+    }
+
+    /// Returns whom a request for `route` with the given key comes from; `None` if the route is
+    /// not public and the key belongs to no workspace.
+    pub fn identify(&self, route: &Route, key: Option<&KeyDigest>) -> Option<CallerIdentity> {
+        if self.config.workspaces.is_none() {
+            return Some(CallerIdentity::Unidentified);
+        }
+        let workspace = key.and_then(|key| self.workspaces.find(key)).cloned();
+        match workspace {
+            Some(workspace) => Some(CallerIdentity::Workspace(workspace)),
+            None => route.is_public.then_some(CallerIdentity::Anonymous),
+        }
     }
 
     /// Returns the configuration.
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -32,6 +32,7 @@
         latency_objective: Duration::from_millis(150),
         rank: 0,
         max_attempts: 2,
+        is_public: false,
         weighted_services: vec![WeightedService {
             service: "records".into(),
             weight: 1,
@@ -50,6 +51,7 @@
             head_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         },
+        workspaces: None,
     })
 }
 
--- a/crates/dogwoodshunt_types/src/id.rs
+++ b/crates/dogwoodshunt_types/src/id.rs
@@ -26,6 +26,9 @@
 /// Name of a service. One or more upstreams serve a service.
 pub type ServiceName = Box<str>;
 
+/// Name of a workspace, the account of a customer.
+pub type WorkspaceName = Box<str>;
+
 /// Position in the log of configuration changes. Revision 0 precedes the first log entry.
 pub type Revision = u64;
 
--- a/crates/dogwoodshunt_types/src/lib.rs
+++ b/crates/dogwoodshunt_types/src/lib.rs
@@ -33,6 +33,7 @@
 pub use crate::id::UnixMillis;
 pub use crate::id::UpstreamName;
 pub use crate::id::Version;
+pub use crate::id::WorkspaceName;
 pub use crate::id::stream_id;
 pub use crate::outcome::NotRun;
 pub use crate::outcome::NotRunReason;
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -27,6 +27,7 @@
 use dogwoodshunt_types::StreamId;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::WorkspaceName;
 use serde::Deserialize;
 use serde::Serialize;
 use std::time::Duration;
@@ -253,6 +254,13 @@
     /// Resources of the engine that the run needs.
     #[serde(rename = "d")]
     pub demand: Demand,
+    /// Workspace of the caller, if any.
+    #[serde(default, rename = "w", skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceName>,
+    /// Longest gap between two events of the response that counts as on time; `None` if the
+    /// response is not a stream.
+    #[serde(default, rename = "g", skip_serializing_if = "Option::is_none")]
+    pub max_event_gap: Option<Duration>,
     /// Time left until the latency target of the first byte.
     #[serde(rename = "u")]
     pub due_in: Duration,
