--- a/crates/dogwoodshunt_proof/tests/last_lines.rs
+++ b/crates/dogwoodshunt_proof/tests/last_lines.rs
@@ -36,18 +36,25 @@
     lines.map(str::to_owned).collect()
 }
 
-/// Waits for a line of `event` and returns it.
-async fn only_line(cluster: &Cluster, event: &str) -> String {
+/// Waits until there are `count` lines of `event`, checks that no other follows, and returns them.
+///
+/// A process writes its log in the background, so a line may follow the response that it is about.
+async fn exact_lines(cluster: &Cluster, event: &str, count: usize) -> Vec<String> {
     let started_at = Instant::now();
-    while lines(cluster, event).is_empty() {
+    while lines(cluster, event).len() < count {
         assert!(started_at.elapsed() < LINE_LIMIT, "{}", cluster.logs());
         Timer::after(Duration::from_millis(20)).await;
     }
-    // A second line would follow at once.
+    // Another line would follow at once.
     Timer::after(Duration::from_millis(100)).await;
-    let mut lines = lines(cluster, event);
-    assert_eq!(lines.len(), 1, "{lines:?}");
-    lines.remove(0)
+    let lines = lines(cluster, event);
+    assert_eq!(lines.len(), count, "{lines:?}");
+    lines
+}
+
+/// Waits for the line of `event`, checks that no other follows, and returns it.
+async fn only_line(cluster: &Cluster, event: &str) -> String {
+    exact_lines(cluster, event, 1).await.remove(0)
 }
 
 /// Sends a request whose caller leaves after [`PATIENCE`].
@@ -114,8 +121,7 @@
         let request = CallerRequest::for_adapter("refused", "unknown");
         let outcome = cluster.caller(1).send(&request).await;
         assert!(!outcome.is_answered(), "{outcome:?}");
-        let lines = lines(&cluster, "request");
-        assert_eq!(lines.len(), 2, "{lines:?}");
+        let lines = exact_lines(&cluster, "request", 2).await;
         assert!(lines[1].contains("outcome=not-run"), "{lines:?}");
     });
 }
