Use small buffers for the links between entries and agents

Cause: the WebSocket library clears its read buffer before each read and defaults to 128 KiB, so every link occupied that much memory: 42 links take 5.4 MB of the 10 MB of an agent, and each frame of some hundred bytes costs a fill of 128 KiB.

--- a/crates/dogwoodshunt_runtime/src/link.rs
+++ b/crates/dogwoodshunt_runtime/src/link.rs
@@ -44,6 +44,11 @@
 /// stops reading from the connection.
 const RECEIVE_QUEUE_CAPACITY: usize = 256;
 
+/// Size of the read buffer and of the write buffer of a connection, in bytes. The read buffer is
+/// cleared before each read, so with the library's default of 128 KiB every connection occupies
+/// this much memory, while most frames have some hundred bytes. Buffers grow for larger frames.
+const BUFFER_BYTES: usize = 8 * 1024;
+
 type Socket = WebSocketStream<Compat<TcpStream>>;
 
 /// Error from establishing a connection or receiving over one.
@@ -189,6 +194,8 @@
 
 fn websocket_config(max_bytes: usize) -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
         .max_message_size(Some(max_bytes))
         .max_frame_size(Some(max_bytes))
 }
