Share scarce capacity among workspaces

Requests beyond the capacity waited until their deadline, a queue filled by one workspace refused the others on arrival, and entries refused requests of all workspaces for the wait that one of them caused. Calls of plain services had no bound by workspace at all.

Change: the scheduler orders equal requests by the recent work of their workspaces in relation to their shares (fair_share.rs). Requests that cannot be served before their deadline are refused at once, last in that order first, with retry delays one after another (shortage.rs). An entry that expects a request of a workspace to be late everywhere asks one agent, which knows the shares. While plain upstreams refuse calls, a workspace with its part of the slots in use leaves a place to the others (fair_calls.rs). A refused plain call ends as CallEnd::Refused, which the pool rates like a failed one, as before. Work and refusals by workspace are counted for at most 64 names. Without workspaces nothing changes.

Tested: unit tests of the crates residency, serving, engine_agent and gateway, with simulated loads of 16 workspaces.

--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -235,7 +235,7 @@
                 Action::Dispatch { job, .. } => self.grant(now, job),
                 Action::Load { adapter, .. } => self.send_order(now, Order::LoadAdapter(adapter)),
                 Action::LoadBaseModel { .. } => self.order_base_model_load(now),
-                Action::NotRun { job, refusal } => self.decline(job, &refusal),
+                Action::NotRun { job, refusal } => self.decline(now, job, &refusal),
                 // The engine worker polls reports, and more often during a load.
                 Action::Probe { .. } => {}
                 Action::Unload { adapter, .. } => {
--- a/crates/dogwoodshunt_engine_agent/src/control/runs.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/runs.rs
@@ -58,7 +58,9 @@
         let due_at = Some(now + admit.due_in);
         let shared_parts = crashes::shared_part_ids(admit.demand.shared_parts());
         let job = Job::new(request, target, Priority::Normal, now, deadline);
-        let job = job.with_demand(admit.demand, due_at);
+        let job = job
+            .with_demand(admit.demand, due_at)
+            .with_workspace(admit.workspace.clone());
         let submitted = if admit.started {
             let key = self.engine.key;
             let adopted = key.and_then(|key| self.scheduler.adopt(now, key, job));
@@ -80,10 +82,14 @@
             }
             Err(not_run) => {
                 info!(self.context.log, "declined"; "request" => %request,
-                    "reason" => %not_run.reason, "started" => admit.started);
+                    "reason" => %not_run.reason, "started" => admit.started,
+                    "workspace" => admit.workspace.as_deref());
                 self.context
                     .metrics
                     .count_admission(not_run.reason.to_string());
+                self.context
+                    .metrics
+                    .count_refusal_of(admit.workspace.as_deref());
                 self.send(link, Frame::NotRun { request, not_run });
             }
         }
@@ -107,7 +113,11 @@
             .queue_seconds
             .observe(waited.as_secs_f64());
         info!(self.context.log, "granted"; "request" => %request, "target" => %running.target,
-            "unread" => running.pending_prefill(), "waited_ms" => waited.as_millis() as u64);
+            "unread" => running.pending_prefill(), "waited_ms" => waited.as_millis() as u64,
+            "workspace" => running.workspace.as_deref());
+        self.context
+            .metrics
+            .count_work_of(running.workspace.as_deref(), running.charged_work());
         let frame = Frame::Admitted {
             request,
             upstream: identity.name.clone(),
@@ -120,7 +130,7 @@
     }
 
     /// Sends the scheduler's refusal of the run of `job` to its entry.
-    pub(super) fn decline(&mut self, job: JobKey, refusal: &Refusal) {
+    pub(super) fn decline(&mut self, now: Instant, job: JobKey, refusal: &Refusal) {
         self.request_by_job.remove(&job);
         let Some(run) = self.runs.remove(&refusal.request) else {
             return;
@@ -128,10 +138,16 @@
         let (request, not_run) = (refusal.request, refusal.not_run);
         info!(self.context.log, "declined"; "request" => %request, "reason" => %not_run.reason,
             "queued" => self.scheduler.queued_len(),
-            "running" => self.scheduler.running_len());
+            "running" => self.scheduler.running_len(),
+            "workspace" => refusal.workspace.as_deref(),
+            "beyond_share" => self.scheduler.fair_share().is_beyond_share(now, &refusal.workspace),
+            "retry_ms" => not_run.retry_after.as_millis() as u64);
         self.context
             .metrics
             .count_admission(not_run.reason.to_string());
+        self.context
+            .metrics
+            .count_refusal_of(refusal.workspace.as_deref());
         self.send(run.link, Frame::NotRun { request, not_run });
     }
 
--- a/crates/dogwoodshunt_engine_agent/src/lib.rs
+++ b/crates/dogwoodshunt_engine_agent/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod engine_worker;
 pub mod metrics;
 pub mod settings;
+pub mod workspace_labels;
 
 #[cfg(test)]
 mod tests;
--- a/crates/dogwoodshunt_engine_agent/src/metrics.rs
+++ b/crates/dogwoodshunt_engine_agent/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the agent.
 
+use crate::workspace_labels::WorkspaceLabels;
 use dogwoodshunt_runtime::metrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -15,11 +16,23 @@
     pub outcome: String,
 }
 
+/// Label set of the workspace of a run.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabel {
+    /// Name of the workspace, `other` beyond the maximum number of names, or `none`.
+    pub workspace: String,
+}
+
 /// Metrics of the agent.
 #[derive(Clone, Debug)]
 pub struct Metrics {
     /// Requested runs by decision: `granted`, `withdrawn` or the refusal reason.
     pub admissions: Family<OutcomeLabel, Counter>,
+    /// Work of the granted runs by workspace, in tokens of prefill.
+    pub workspace_work: Family<WorkspaceLabel, Counter>,
+    /// Refused runs by workspace.
+    pub workspace_refusals: Family<WorkspaceLabel, Counter>,
+    workspace_labels: WorkspaceLabels,
     /// Time from the request for a run to its grant, in seconds.
     pub queue_seconds: Histogram,
     /// Orders to the engine by answer.
@@ -40,6 +53,9 @@
     pub fn new(registry: &mut Registry) -> Self {
         let metrics = Self {
             admissions: Family::default(),
+            workspace_work: Family::default(),
+            workspace_refusals: Family::default(),
+            workspace_labels: WorkspaceLabels::default(),
             queue_seconds: metrics::latency_histogram(),
             orders: Family::default(),
             runs_granted: Gauge::default(),
@@ -49,6 +65,16 @@
         };
         let admissions = metrics.admissions.clone();
         registry.register("admissions", "Runs asked for, by decision", admissions);
+        registry.register(
+            "workspace_work",
+            "Work of granted runs, in tokens of prefill",
+            metrics.workspace_work.clone(),
+        );
+        registry.register(
+            "workspace_refusals",
+            "Refused runs by workspace",
+            metrics.workspace_refusals.clone(),
+        );
         let orders = metrics.orders.clone();
         registry.register("orders", "Orders to the engine, by answer", orders);
         let queue_seconds = metrics.queue_seconds.clone();
@@ -80,6 +106,22 @@
             .inc();
     }
 
+    /// Counts the work of a granted run under its workspace.
+    pub fn count_work_of(&self, workspace: Option<&str>, work: f64) {
+        let workspace = self.workspace_labels.label(workspace);
+        self.workspace_work
+            .get_or_create(&WorkspaceLabel { workspace })
+            .inc_by(work as u64);
+    }
+
+    /// Counts a refused run under its workspace.
+    pub fn count_refusal_of(&self, workspace: Option<&str>) {
+        let workspace = self.workspace_labels.label(workspace);
+        self.workspace_refusals
+            .get_or_create(&WorkspaceLabel { workspace })
+            .inc();
+    }
+
     /// Counts an order under its outcome.
     pub fn count_order(&self, outcome: &str) {
         let outcome = outcome.to_owned();
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -7,6 +7,7 @@
 mod rate_limit;
 mod services;
 mod streams;
+mod workspaces;
 
 use crate::EngineAgentSettings;
 use crate::control::Control;
--- a/crates/dogwoodshunt_gateway/src/call/guard.rs
+++ b/crates/dogwoodshunt_gateway/src/call/guard.rs
@@ -10,6 +10,7 @@
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::WorkspaceName;
 
 /// Reports the end of a placement, or of the run granted for it, when dropped.
 pub(super) struct RunGuard {
@@ -59,6 +60,7 @@
     pub(super) upstream: UpstreamName,
     pub(super) started: UnixMillis,
     pub(super) fingerprint: RequestFingerprint,
+    pub(super) workspace: Option<WorkspaceName>,
     pub(super) end: CallEnd,
     pub(super) events: Sender<ControlEvent>,
 }
@@ -70,6 +72,7 @@
             upstream: self.upstream.clone(),
             started: self.started,
             fingerprint: self.fingerprint,
+            workspace: self.workspace.clone(),
             end: self.end,
         };
         let _ = self.events.try_send(ended);
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -180,6 +180,7 @@
         let event = ControlEvent::SelectUpstream {
             service: routed.service.clone(),
             fingerprint: routed.fingerprint,
+            workspace: routed.caller.workspace().map(|w| w.name.clone()),
             excluded: excluded.to_vec(),
             software: history.software.clone(),
             reply_tx,
@@ -215,6 +216,7 @@
             upstream: selected.upstream,
             started: selected.started,
             fingerprint: routed.fingerprint,
+            workspace: routed.caller.workspace().map(|w| w.name.clone()),
             end: CallEnd::Neutral,
             events: self.events.clone(),
         };
@@ -241,9 +243,8 @@
                 CallEnd::Failed
             }
             SendOutcome::BrokenOff(_) => CallEnd::Lost,
-            SendOutcome::Refused | SendOutcome::Foreign(_) | SendOutcome::TimedOut => {
-                CallEnd::Failed
-            }
+            SendOutcome::Refused => CallEnd::Refused,
+            SendOutcome::Foreign(_) | SendOutcome::TimedOut => CallEnd::Failed,
             SendOutcome::Answered(exchange, _) if exchange.status.is_server_error() => {
                 CallEnd::Failed
             }
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -56,6 +56,7 @@
 use dogwoodshunt_serving::RequestQuarantine;
 use dogwoodshunt_serving::UpstreamPool;
 use dogwoodshunt_serving::UpstreamRegistry;
+use dogwoodshunt_serving::fair_calls::FairCalls;
 use dogwoodshunt_serving::pool::CallEnd;
 use dogwoodshunt_streams::Lookups;
 use dogwoodshunt_streams::StreamMemory;
@@ -70,6 +71,7 @@
 use dogwoodshunt_types::StreamId;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::WorkspaceName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::frame::StreamOrigin;
@@ -123,6 +125,8 @@
         started: UnixMillis,
         /// Fingerprint of the request.
         fingerprint: RequestFingerprint,
+        /// Workspace of the caller, if any.
+        workspace: Option<WorkspaceName>,
         /// How the call ended.
         end: CallEnd,
     },
@@ -175,6 +179,8 @@
         service: ServiceName,
         /// Fingerprint of the request.
         fingerprint: RequestFingerprint,
+        /// Workspace of the caller, if any.
+        workspace: Option<WorkspaceName>,
         /// Upstreams to which the call has already been sent.
         excluded: Vec<UpstreamName>,
         /// Version of the software that must run the call; `None` if any may.
@@ -273,6 +279,8 @@
     agents_by_address: HashMap<SocketAddr, AgentKey>,
     registry: UpstreamRegistry,
     pools: HashMap<ServiceName, UpstreamPool>,
+    /// Calls of workspaces in flight, by plain service.
+    fair_calls: HashMap<ServiceName, FairCalls>,
     pauses: Pauses,
     rate_limits: RateLimits,
     /// Prompt parts that have crashed the engines of each service.
@@ -321,6 +329,7 @@
             agents_by_address: HashMap::new(),
             registry: UpstreamRegistry::default(),
             pools: HashMap::new(),
+            fair_calls: HashMap::new(),
             pauses: Pauses::default(),
             rate_limits: RateLimits::default(),
             quarantines: HashMap::new(),
@@ -378,13 +387,14 @@
                 upstream,
                 started,
                 fingerprint,
+                workspace,
                 end,
             } => {
-                self.on_call_ended(now, &service, &upstream, end);
+                self.on_call_ended(now, &service, &upstream, workspace.as_ref(), end);
                 match end {
                     CallEnd::Answered => self.on_request_answered(now, fingerprint),
                     CallEnd::Lost => self.on_request_lost(now, fingerprint, &upstream, started),
-                    CallEnd::Failed | CallEnd::Neutral => {}
+                    CallEnd::Failed | CallEnd::Refused | CallEnd::Neutral => {}
                 }
             }
             ControlEvent::StoreChanged { topic, changes } => {
@@ -405,13 +415,16 @@
             ControlEvent::SelectUpstream {
                 service,
                 fingerprint,
+                workspace,
                 excluded,
                 software,
                 reply_tx,
             } => {
                 let refusal = self.lost_request_refusal(now, fingerprint);
                 let software = software.as_deref();
-                let select = || self.select_upstream(now, service, &excluded, software);
+                let select = || {
+                    self.select_within_share(now, service, workspace.as_ref(), &excluded, software)
+                };
                 let selected = refusal.map_or_else(select, Err);
                 // The receiver is dropped if the caller has disconnected.
                 let _ = reply_tx.try_send(selected);
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -262,17 +262,25 @@
             placement.refuse(not_run);
             return;
         }
-        let routed = self.router.route(
-            now,
-            &RouteRequest {
-                target: &placement.target,
-                deadline: Some(placement.req.useful_until),
-                excluded: &placement.excluded,
-                demand: &placement.req.demand,
-                service: Some(&*placement.req.service),
-                software: placement.req.software.as_deref(),
-            },
-        );
+        let in_time = RouteRequest {
+            target: &placement.target,
+            deadline: Some(placement.req.useful_until),
+            excluded: &placement.excluded,
+            demand: &placement.req.demand,
+            service: Some(&*placement.req.service),
+            software: placement.req.software.as_deref(),
+        };
+        let mut routed = self.router.route(now, &in_time);
+        let is_late = routed.is_err_and(|not_run| not_run.reason == NotRunReason::Deadline);
+        if is_late && placement.req.workspace.is_some() && placement.attempt == 0 {
+            // The wait is that of all workspaces. Only an agent knows which of them are beyond
+            // their share, and it refuses at once what it cannot serve in time.
+            let at_any_time = RouteRequest {
+                deadline: None,
+                ..in_time
+            };
+            routed = self.router.route(now, &at_any_time);
+        }
         let agent = match routed {
             Ok(agent) => agent,
             Err(not_run) => {
--- a/crates/dogwoodshunt_gateway/src/control/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/control/plain_service.rs
@@ -12,6 +12,8 @@
 use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::WorkspaceName;
+use slog::info;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -102,6 +104,38 @@
 }
 
 impl<D: RecordDecoder> Control<D> {
+    /// Selects an upstream for a call of `workspace`, which is counted as one of its calls in flight
+    /// until [`Control::on_call_ended`].
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Control::select_upstream`], and while the upstreams are short of slots if other
+    /// workspaces are entitled to those that are left.
+    pub(super) fn select_within_share(
+        &mut self,
+        now: Instant,
+        service: ServiceName,
+        workspace: Option<&WorkspaceName>,
+        excluded: &[UpstreamName],
+        software: Option<&str>,
+    ) -> Result<SelectedUpstream, NotRun> {
+        let Some(workspace) = workspace else {
+            return self.select_upstream(now, service, excluded, software);
+        };
+        let fair_calls = self.fair_calls.entry(service.clone()).or_default();
+        if let Err(shortage) = fair_calls.begin(now, workspace) {
+            info!(self.context.log, "call beyond share"; "service" => %service,
+                "workspace" => %workspace, "in_flight" => fair_calls.in_flight(workspace),
+                "retry_ms" => shortage.as_millis() as u64);
+            return Err(NotRun::new(NotRunReason::Overloaded, shortage));
+        }
+        let selected = self.select_upstream(now, service.clone(), excluded, software);
+        if let (Err(_), Some(fair_calls)) = (&selected, self.fair_calls.get_mut(&service)) {
+            fair_calls.on_ended(now, workspace, false);
+        }
+        selected
+    }
+
     /// Selects an upstream of a plain service that is not in `excluded` and runs the version
     /// `software`, if one is given. The first selection for a call counts the call in the retry budget.
     ///
@@ -146,8 +180,12 @@
         now: Instant,
         service: &str,
         upstream: &str,
+        workspace: Option<&WorkspaceName>,
         end: CallEnd,
     ) {
+        if let (Some(workspace), Some(calls)) = (workspace, self.fair_calls.get_mut(service)) {
+            calls.on_ended(now, workspace, end == CallEnd::Refused);
+        }
         if let Some(pool) = self.pools.get_mut(service) {
             pool.on_call_ended(now, upstream, end);
         }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the control state, without network connections.
 
 mod announcements;
+mod fair_shares;
 mod lost_requests;
 mod overview;
 mod quarantine;
@@ -358,6 +359,7 @@
         self.handle(ControlEvent::SelectUpstream {
             service: "records".into(),
             fingerprint: 0,
+            workspace: None,
             excluded: Vec::new(),
             software: None,
             reply_tx,
--- a/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
@@ -41,6 +41,7 @@
             upstream: "plain-1".into(),
             started,
             fingerprint: DEADLY,
+            workspace: None,
             end,
         });
     }
@@ -50,6 +51,7 @@
         self.handle(ControlEvent::SelectUpstream {
             service: "records".into(),
             fingerprint,
+            workspace: None,
             excluded: Vec::new(),
             software: None,
             reply_tx,
--- a/crates/dogwoodshunt_residency/src/job.rs
+++ b/crates/dogwoodshunt_residency/src/job.rs
@@ -1,6 +1,7 @@
 //! Jobs: requests submitted to the agent, and their life cycle.
 
 use crate::demand::Demand;
+use crate::fair_share::Group;
 use crate::upstream::UpstreamKey;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
@@ -78,6 +79,8 @@
     pub dispatched_at: Instant,
     /// Prompt tokens that the upstream has not yet processed.
     pub pending_prefill: u64,
+    /// Work that was charged to the workspace at dispatch.
+    pub charged_work: f64,
 }
 
 /// A submitted request in state `S`.
@@ -105,6 +108,8 @@
     /// the job is dispatched after jobs of the same priority that can still meet
     /// their objective.
     pub slo_deadline: Option<Instant>,
+    /// Workspace of the caller, if any.
+    pub workspace: Group,
     state: S,
 }
 
@@ -113,6 +118,8 @@
 pub struct Refusal {
     /// Identifier of the refused request attempt.
     pub request: RequestId,
+    /// Workspace of the caller, if any.
+    pub workspace: Group,
     /// Reason for the refusal, and retry delay.
     pub not_run: NotRun,
 }
@@ -141,6 +148,7 @@
             failed_dispatches: 0,
             demand: Demand::default(),
             slo_deadline: None,
+            workspace: None,
             state: Queued,
         }
     }
@@ -154,6 +162,13 @@
         self
     }
 
+    /// Sets the workspace of the caller.
+    #[must_use]
+    pub fn with_workspace(mut self, workspace: Group) -> Self {
+        self.workspace = workspace;
+        self
+    }
+
     /// Marks the job as running on `upstream`, which has `pending_prefill` tokens of the
     /// prompt to process.
     pub fn dispatch(
@@ -168,6 +183,7 @@
             boot,
             dispatched_at: now,
             pending_prefill,
+            charged_work: 0.0,
         })
     }
 
@@ -175,6 +191,7 @@
     pub fn refuse(self, not_run: NotRun) -> Refusal {
         Refusal {
             request: self.request,
+            workspace: self.workspace,
             not_run,
         }
     }
@@ -201,6 +218,18 @@
         self.state.pending_prefill
     }
 
+    /// Returns the work that was charged to the workspace at dispatch.
+    pub fn charged_work(&self) -> f64 {
+        self.state.charged_work
+    }
+
+    /// Records the work that is charged to the workspace.
+    #[must_use]
+    pub fn with_charged_work(mut self, work: f64) -> Self {
+        self.state.charged_work = work;
+        self
+    }
+
     /// Marks the whole prompt as processed and returns the tokens that were pending.
     pub fn finish_prefill(&mut self) -> u64 {
         std::mem::take(&mut self.state.pending_prefill)
@@ -224,6 +253,7 @@
             failed_dispatches: self.failed_dispatches,
             demand: self.demand,
             slo_deadline: self.slo_deadline,
+            workspace: self.workspace,
             state,
         }
     }
--- a/crates/dogwoodshunt_residency/src/lib.rs
+++ b/crates/dogwoodshunt_residency/src/lib.rs
@@ -24,10 +24,12 @@
 //! [`orders`] for the events, then [`plan`] and `loads` for the decisions, and
 //! [`report`] with `reporting` for the load reports to entries. [`load_budget`], [`load_window`],
 //! [`popularity`], [`prefill_rate`] and [`prefix_index`] hold the estimates and
-//! limits that the decisions use.
+//! limits that the decisions use. [`fair_share`] divides the capacity among workspaces, and
+//! `shortage` refuses what cannot be served in time.
 
 pub mod action;
 pub mod demand;
+pub mod fair_share;
 pub mod job;
 pub mod load_budget;
 pub mod load_window;
@@ -41,6 +43,7 @@
 mod reporting;
 pub mod scheduler;
 pub mod settings;
+mod shortage;
 pub mod upstream;
 
 #[cfg(test)]
@@ -48,6 +51,7 @@
 
 pub use crate::action::Action;
 pub use crate::demand::Demand;
+pub use crate::fair_share::FairShare;
 pub use crate::job::JobKey;
 pub use crate::job::Target;
 pub use crate::plan::AdmissionCheck;
--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -3,6 +3,8 @@
 
 use crate::action::Action;
 use crate::demand::Demand;
+use crate::fair_share;
+use crate::fair_share::Group;
 use crate::job::AnyJob;
 use crate::job::Job;
 use crate::job::JobKey;
@@ -94,13 +96,14 @@
     /// Runs one planning step and returns the actions to carry out.
     ///
     /// The step refuses expired jobs, loads missing base models, dispatches jobs,
-    /// refuses jobs that rate limits keep waiting for too long, unloads drained adapters and
+    /// refuses jobs that rate limits or a lack of capacity keep waiting for too long, unloads drained adapters and
     /// starts loads, in this order.
     pub fn plan(&mut self, now: Instant, admission_check: &dyn AdmissionCheck) -> Vec<Action> {
         let mut actions = self.refuse_expired(now);
         self.load_base_models(now, &mut actions);
         self.dispatch_queued(now, admission_check, &mut actions);
         self.refuse_beyond_rate(now, &mut actions);
+        self.refuse_beyond_capacity(now, &mut actions);
         self.unload_drained(&mut actions);
         self.start_loads(now, &mut actions);
         let _holds = self.check_invariants();
@@ -204,8 +207,8 @@
 
     /// Returns the queue in scheduling order: by descending priority; within a
     /// priority, jobs that can still meet their latency objective before all others;
-    /// then by rank and arrival.
-    fn sorted_queue(&self, now: Instant) -> Vec<JobKey> {
+    /// then by rank; within a rank by the shares of the workspaces; then by arrival.
+    pub(crate) fn sorted_queue(&self, now: Instant) -> Vec<JobKey> {
         let mut keys = self.queue.clone();
         keys.sort_by_key(|key| match &self.jobs[*key] {
             AnyJob::Queued(job) => {
@@ -223,7 +226,33 @@
                 (descending_priority, false, job.demand.rank, job.arrived)
             }
         });
-        keys
+        if self.has_queued_workspaces() {
+            self.order_by_share(now, &keys)
+        } else {
+            keys
+        }
+    }
+
+    /// Orders the jobs of each priority, SLO state and rank by the shares of their workspaces.
+    fn order_by_share(&self, now: Instant, sorted: &[JobKey]) -> Vec<JobKey> {
+        let queued = sorted.iter().filter_map(|key| match &self.jobs[*key] {
+            AnyJob::Queued(job) => Some((*key, job)),
+            AnyJob::Running(_) => None,
+        });
+        let queued: Vec<(JobKey, &Job<Queued>)> = queued.collect();
+        let class = |job: &Job<Queued>| {
+            let misses_slo = job.slo_deadline.is_some_and(|at| at <= now);
+            (job.priority, misses_slo, job.demand.rank)
+        };
+        let classes = queued.chunk_by(|(_, a), (_, b)| class(a) == class(b));
+        let ordered = classes.flat_map(|jobs| {
+            let jobs = jobs
+                .iter()
+                .map(|(key, job)| (*key, &job.workspace, self.work_of(job)));
+            let jobs: Vec<(JobKey, &Group, f64)> = jobs.collect();
+            self.fair_share.order(now, &jobs)
+        });
+        ordered.collect()
     }
 
     fn least_busy_upstream(
@@ -256,6 +285,7 @@
         chosen.running += 1;
         chosen.record_dispatch(now);
         let pending_prefill = chosen.start_prefill(now, &job.target, &job.demand);
+        let work = fair_share::work(pending_prefill, job.demand.output_tokens);
         let resident = job
             .target
             .adapter()
@@ -265,7 +295,9 @@
             resident.last_used = now;
         }
         self.queue.retain(|queued| *queued != key);
-        self.jobs[key] = AnyJob::Running(job.dispatch(now, upstream, boot, pending_prefill));
+        self.fair_share.on_dispatched(now, &job.workspace, work);
+        let running = job.dispatch(now, upstream, boot, pending_prefill);
+        self.jobs[key] = AnyJob::Running(running.with_charged_work(work));
         Some(Action::Dispatch { job: key, upstream })
     }
 }
--- a/crates/dogwoodshunt_residency/src/scheduler.rs
+++ b/crates/dogwoodshunt_residency/src/scheduler.rs
@@ -1,6 +1,8 @@
 //! State of the scheduler, and the events of jobs, preloads and leaving upstreams.
 
 use crate::action::Action;
+use crate::fair_share;
+use crate::fair_share::FairShare;
 use crate::job::AnyJob;
 use crate::job::Job;
 use crate::job::JobKey;
@@ -47,6 +49,9 @@
     pub(crate) popularity: Popularity,
     /// Adapters to load before any request needs them, with their base models.
     pub(crate) preloads: BTreeMap<AdapterRef, Box<str>>,
+    pub(crate) fair_share: FairShare,
+    /// When the caller of the next job that is refused for lack of capacity should return.
+    pub(crate) next_retry_at: Option<Instant>,
     leaving: bool,
     mean_run: Duration,
 }
@@ -68,6 +73,8 @@
             budget,
             popularity,
             preloads: BTreeMap::new(),
+            fair_share: FairShare::default(),
+            next_retry_at: None,
             leaving: false,
             mean_run: Duration::from_millis(500),
         }
@@ -172,7 +179,17 @@
         if self.is_blocked_by_other_version(&job) {
             return Err(NotRun::new(NotRunReason::Overloaded, RETRY_AFTER));
         }
-        if self.queue.len() >= self.settings.queue_limit {
+        // One of a workspace within its share is queued beyond the limit, too; the next planning
+        // step then refuses the last in scheduling order.
+        let limit = match &job.workspace {
+            Some(_) if !self.fair_share.is_beyond_share(now, &job.workspace) => {
+                self.settings.queue_limit * 2
+            }
+            Some(_) | None => self.settings.queue_limit,
+        };
+        let work = self.work_of(&job);
+        self.fair_share.on_submitted(now, &job.workspace, work);
+        if self.queue.len() >= limit {
             return Err(NotRun::new(NotRunReason::Overloaded, self.mean_run));
         }
         if let Some(adapter) = job.target.adapter() {
@@ -225,6 +242,16 @@
             return Vec::new();
         };
         self.release_run(&job, now);
+        let excess = match outcome {
+            RunOutcome::Finished => {
+                let run_time = now.saturating_duration_since(job.dispatched_at());
+                let excess = fair_share::excess_work(job.demand.output_tokens, run_time);
+                excess.min(job.charged_work())
+            }
+            RunOutcome::AdapterMissing | RunOutcome::Unreachable => job.charged_work(),
+        };
+        self.fair_share
+            .on_corrected(now, &job.workspace, job.dispatched_at(), excess);
         match outcome {
             RunOutcome::Finished => {
                 self.record_run_time(now.saturating_duration_since(job.dispatched_at()));
@@ -332,6 +359,22 @@
         })
     }
 
+    /// Returns the demand, work and shares of the workspaces.
+    pub fn fair_share(&self) -> &FairShare {
+        &self.fair_share
+    }
+
+    /// Returns the work that `job` causes on the first upstream that may run it.
+    pub(crate) fn work_of(&self, job: &Job<Queued>) -> f64 {
+        let upstreams = self.upstreams.values();
+        let mut able = upstreams.filter(|u| u.takes_work() && u.can_serve(&job.target));
+        let prompt_tokens = u64::from(job.demand.prompt_tokens);
+        let uncached = able.next().map_or(prompt_tokens, |upstream| {
+            upstream.uncached_tokens(&job.target, &job.demand)
+        });
+        fair_share::work(uncached, job.demand.output_tokens)
+    }
+
     fn has_upstream_for(&self, job: &Job<Queued>) -> bool {
         self.upstreams
             .values()
--- a/crates/dogwoodshunt_residency/src/tests.rs
+++ b/crates/dogwoodshunt_residency/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod decisions;
 mod engine_limits;
+mod fair_share;
 mod load_window;
 mod rate_limits;
 mod state_machine;
--- a/crates/dogwoodshunt_serving/src/lib.rs
+++ b/crates/dogwoodshunt_serving/src/lib.rs
@@ -10,11 +10,12 @@
 //! upstreams of other services are model engines, which need the base model and the
 //! adapter of a request.
 //!
-//! Read [`config`] first, then [`registry`], [`pool`] with [`rate_share`], [`admission`],
+//! Read [`config`] first, then [`registry`], [`pool`] with [`rate_share`] and [`fair_calls`], [`admission`],
 //! [`quarantine`] and [`request_quarantine`].
 
 pub mod admission;
 pub mod config;
+pub mod fair_calls;
 pub mod pool;
 pub mod quarantine;
 pub mod rate_share;
--- a/crates/dogwoodshunt_serving/src/pool.rs
+++ b/crates/dogwoodshunt_serving/src/pool.rs
@@ -98,6 +98,8 @@
     Failed,
     /// The response was lost with its connection.
     Lost,
+    /// The upstream refused the call without running it.
+    Refused,
     /// The caller disconnected or the call was not sent, which says nothing about
     /// the upstream.
     Neutral,
@@ -265,7 +267,7 @@
         member.in_flight = member.in_flight.saturating_sub(1);
         let observed_rate = match end {
             CallEnd::Answered => 0.0,
-            CallEnd::Failed | CallEnd::Lost => 1.0,
+            CallEnd::Failed | CallEnd::Lost | CallEnd::Refused => 1.0,
             CallEnd::Neutral => return,
         };
         let previous_rate = member.decayed_failure_rate(now);
