Check that a workspace that bursts is itself served

The share by usual demand alone passed all tests, since they counted the time before and after the burst, too. The new test counts the burst only. Tested: residency, fair_share.

--- a/crates/dogwoodshunt_residency/src/tests/fair_share.rs
+++ b/crates/dogwoodshunt_residency/src/tests/fair_share.rs
@@ -63,6 +63,8 @@
     burst_s: (u64, u64),
     /// Length of the play in seconds.
     seconds: u64,
+    /// Second from which requests are counted.
+    counted_from: u64,
     /// Whether a tenth of the requests has rank 0, and the others rank 1.
     with_ranks: bool,
     /// Whether the requests name their workspaces.
@@ -83,6 +85,7 @@
             burst,
             burst_s: (20, 6),
             seconds: 40,
+            counted_from: 0,
             with_ranks: false,
             with_workspaces: true,
             with_large: false,
@@ -126,6 +129,9 @@
 
 impl Played {
     fn add(&mut self, sent: &Sent, change: impl Fn(&mut Tally)) {
+        if !sent.is_counted {
+            return;
+        }
         change(&mut self.all);
         change(self.by_workspace.entry(sent.workspace).or_default());
         if sent.is_large {
@@ -156,6 +162,7 @@
     adapter: usize,
     prompt: u32,
     at: Instant,
+    is_counted: bool,
 }
 
 /// Engine that prefills prompts one after another and decodes them at a constant speed.
@@ -351,6 +358,7 @@
                         adapter: if rare < load.adapters { rare } else { 0 },
                         prompt: if is_large { 10_000 } else { 1_000 },
                         at: now,
+                        is_counted: second >= load.counted_from,
                     };
                     let rank = u8::from(!load.with_ranks || !rng.random_bool(0.1));
                     player.submit(load, sent, rank);
@@ -391,6 +399,24 @@
     }
 }
 
+/// Guards against shares by usual demand alone, by which a small workspace that bursts is hardly
+/// served while the burst lasts.
+#[rstest]
+fn workspace_that_bursts_is_itself_served_a_quarter_as_often_as_all(
+    #[values(5.7, 7.5)] burst: f64,
+    #[values(1.2, 2.0)] usual: f64,
+    #[values(0, 3, 7, 15)] hot: usize,
+) {
+    let load = Load {
+        hot,
+        burst_s: (40, 20),
+        seconds: 60,
+        counted_from: 42,
+        ..Load::new(usual, burst)
+    };
+    play(&load).assert_no_workspace_starves();
+}
+
 /// Guards against an order by arrival, in which all lose as much as the workspace that bursts.
 #[rstest]
 fn burst_of_one_workspace_costs_the_others_little(
@@ -436,6 +462,7 @@
         adapter: 9,
         prompt: 1_000,
         at: now,
+        is_counted: true,
     };
     (0..300).for_each(|number| player.submit(&load, sent(number, 0), 1));
     assert_eq!(player.scheduler.queued_len(), 300);
@@ -564,6 +591,7 @@
             adapter: 0,
             prompt: 900 + (number as u32 * 37) % 200,
             at: now,
+            is_counted: true,
         };
         player.submit(&load, sent, 1);
         expected.push(number);
@@ -600,6 +628,7 @@
         adapter: 0,
         prompt: 100,
         at,
+        is_counted: true,
     };
     player.submit(&load, sent(1, 1, now), 1);
     player.submit(&load, sent(2, 0, now), 1);
