Charge requests to the quotas of workspaces

Change: crate dogwoodshunt_quotas decides without I/O. An agent chosen by rendezvous hashing keeps the token bucket of a workspace; entries register with it, take tokens in small advances and pay each request once before it is placed. The frames QuotaRequest and QuotaGrant carry this, and PROTOCOL_VERSION is 5. A request over the quota gets 429 with the time at which it fits; one that is refused without having run is refunded. Requests without a workspace or a quota send no event and pay nothing.

--- a/crates/dogwoodshunt_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_agent/src/control/links.rs
@@ -157,6 +157,8 @@
             | Frame::Hello(_)
             | Frame::Load(_)
             | Frame::NotRun { .. }
+            | Frame::QuotaGrant(_)
+            | Frame::QuotaRequest(_)
             | Frame::UpstreamConfig(_)
             | Frame::Welcome { .. } => self.on_entry_disconnected(now, key),
         }
--- a/crates/dogwoodshunt_engine_agent/src/control/links.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/links.rs
@@ -119,6 +119,7 @@
         };
         warn!(self.context.log, "entry disconnected"; "entry" => %link.entry.node);
         link.tx.close();
+        self.quotas.on_entry_disconnected(now, key);
         self.rank_entries();
         self.mark_runs_disconnected(now, link.entry.boot);
     }
@@ -145,6 +146,7 @@
                 broken_off,
             } => self.on_done(now, request, adapter_missing, broken_off),
             Frame::FirstByte { request } => self.on_first_byte(now, request),
+            Frame::QuotaRequest(request) => self.on_quota_request(now, key, *request),
             Frame::UpstreamConfig(config) => self.on_upstream_config(now, *config),
             Frame::Ack { .. }
             | Frame::Admitted { .. }
@@ -159,6 +161,7 @@
             | Frame::Load(_)
             | Frame::NotRun { .. }
             | Frame::Pull { .. }
+            | Frame::QuotaGrant(_)
             | Frame::Resume { .. }
             | Frame::Snapshot { .. }
             | Frame::Submit(_)
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -4,13 +4,14 @@
 //! entries, `runs` the runs that entries request, `engine` the reports of the
 //! engine and the orders to the engine, `rate_limit` the limit that the engine names,
 //! `crashes` the records of its crashes, `lost_requests` passes on which responses entries
-//! have lost, and `streams` remembers which software versions began streams.
+//! have lost, `quotas` keeps the ledger of workspaces, and `streams` remembers which software versions began streams.
 
 mod crashes;
 mod engine;
 mod late_loads;
 mod links;
 mod lost_requests;
+mod quotas;
 mod rate_limit;
 mod runs;
 mod streams;
@@ -19,6 +20,7 @@
 use crate::control::engine::EngineState;
 use crate::control::links::LinkState;
 use crate::control::lost_requests::RequestLog;
+use crate::control::quotas::QuotaState;
 use crate::control::runs::RunState;
 use crate::engine::EngineReport;
 use crate::engine::Order;
@@ -146,6 +148,7 @@
     crash_log: CrashLog,
     request_log: RequestLog,
     stream_memory: StreamMemory,
+    quotas: QuotaState,
     links: SlotMap<LinkKey, LinkState>,
     runs: HashMap<RequestId, RunState>,
     request_by_job: HashMap<JobKey, RequestId>,
@@ -171,6 +174,7 @@
             crash_log: CrashLog::default(),
             request_log: RequestLog::default(),
             stream_memory: StreamMemory::default(),
+            quotas: QuotaState::new(now),
             links: SlotMap::with_key(),
             runs: HashMap::new(),
             request_by_job: HashMap::new(),
@@ -249,6 +253,7 @@
     pub(crate) fn tick(&mut self, now: Instant) {
         self.violation_monitor.log_new_violations(&self.context.log);
         self.end_disconnected_runs(now);
+        self.tick_quotas(now);
         self.send_due_heartbeats(now);
         if self.load_log_due <= now {
             self.load_log_due = now + LOAD_LOG_INTERVAL;
--- a/crates/dogwoodshunt_engine_agent/src/metrics.rs
+++ b/crates/dogwoodshunt_engine_agent/src/metrics.rs
@@ -33,6 +33,12 @@
     pub unread_tokens: Gauge,
     /// Adapters that occupy an adapter slot of the engine.
     pub resident_adapters: Gauge,
+    /// Asks for tokens of workspaces, by outcome: `granted` or `refused`.
+    pub quota_asks: Family<OutcomeLabel, Counter>,
+    /// Tokens that the ledger has granted.
+    pub quota_tokens: Counter,
+    /// Workspaces of which this agent is the ledger.
+    pub quota_workspaces: Gauge,
 }
 
 impl Metrics {
@@ -46,7 +52,14 @@
             runs_queued: Gauge::default(),
             unread_tokens: Gauge::default(),
             resident_adapters: Gauge::default(),
+            quota_asks: Family::default(),
+            quota_tokens: Counter::default(),
+            quota_workspaces: Gauge::default(),
         };
+        let asks = metrics.quota_asks.clone();
+        registry.register("quota_asks", "Asks of entries for tokens, by outcome", asks);
+        let tokens = metrics.quota_tokens.clone();
+        registry.register("quota_tokens", "Tokens granted to entries", tokens);
         let admissions = metrics.admissions.clone();
         registry.register("admissions", "Runs asked for, by decision", admissions);
         let orders = metrics.orders.clone();
@@ -66,6 +79,11 @@
                 "Adapters that hold a place",
                 &metrics.resident_adapters,
             ),
+            (
+                "quota_workspaces",
+                "Workspaces of which this agent is the ledger",
+                &metrics.quota_workspaces,
+            ),
         ] {
             registry.register(name, help, gauge.clone());
         }
@@ -80,6 +98,15 @@
             .inc();
     }
 
+    /// Counts an answer of the ledger.
+    pub fn count_quota_ask(&self, outcome: &str, tokens: u64) {
+        let outcome = outcome.to_owned();
+        self.quota_asks
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+        self.quota_tokens.inc_by(tokens);
+    }
+
     /// Counts an order under its outcome.
     pub fn count_order(&self, outcome: &str) {
         let outcome = outcome.to_owned();
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod late_orders;
 mod lost_requests;
+mod quotas;
 mod rate_limit;
 mod services;
 mod streams;
--- a/crates/dogwoodshunt_entry/src/api/response.rs
+++ b/crates/dogwoodshunt_entry/src/api/response.rs
@@ -94,7 +94,7 @@
     /// No retry delay is sent for a withdrawn adapter, since a retry cannot succeed.
     pub fn not_run(not_run: NotRun) -> Self {
         let status = match not_run.reason {
-            NotRunReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+            NotRunReason::Overloaded | NotRunReason::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             NotRunReason::Withdrawn => StatusCode::GONE,
             NotRunReason::Cancelled
             | NotRunReason::CrashesEngines
@@ -103,6 +103,7 @@
             | NotRunReason::LoadFailed
             | NotRunReason::NoUpstream
             | NotRunReason::Paused
+            | NotRunReason::QuotaUnknown
             | NotRunReason::KeyValueServiceUnreachable
             | NotRunReason::SoftwareGone
             | NotRunReason::SoftwareUnknown
--- a/crates/dogwoodshunt_entry/src/control/agents.rs
+++ b/crates/dogwoodshunt_entry/src/control/agents.rs
@@ -72,6 +72,8 @@
             | Frame::Hello(_)
             | Frame::Load(_)
             | Frame::NotRun { .. }
+            | Frame::QuotaGrant(_)
+            | Frame::QuotaRequest(_)
             | Frame::Resume { .. }
             | Frame::Submit(_)
             | Frame::UpstreamConfig(_)
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -8,6 +8,7 @@
 mod guard;
 mod model;
 mod plain_service;
+mod quota;
 pub(crate) mod record;
 pub(crate) mod sse;
 mod stream;
@@ -152,6 +153,8 @@
     pub caller_timeout: Option<Duration>,
     /// Model-specific part; `None` for requests to plain services.
     pub model: Option<ModelRequest>,
+    /// Prompt tokens and maximum output tokens together, if the request states them.
+    pub stated_tokens: Option<u64>,
     /// Id of the last event that the caller has received, for a stream to be
     /// resumed after that event.
     pub resume_after: Option<u64>,
@@ -306,11 +309,19 @@
             service,
             caller,
         });
-        match (&routed.call.model, has_engines) {
+        let payment = match self.pay(&routed).await {
+            Ok(payment) => payment,
+            Err(not_run) => return refusal_response(not_run, Duration::ZERO),
+        };
+        let response = match (&routed.call.model, has_engines) {
             (Some(_), true) => self.serve_model_request(&routed, history).await,
             (None, true) => CallResponse::Malformed("the request names no model".into()),
             (_, false) => self.serve_plain_request(&routed, history).await,
+        };
+        if let Some(payment) = payment {
+            payment.settle(&response);
         }
+        response
     }
 
     /// Records a request that could not be read, for the given reason.
@@ -420,6 +431,10 @@
 /// For [`NotRunReason::Deadline`], `not_run.retry_after` is the expected wait, and
 /// the retry-after time is the part of it that exceeds `useful_wait`.
 fn refusal_response(not_run: NotRun, useful_wait: Duration) -> CallResponse {
+    if not_run.reason == NotRunReason::OverQuota {
+        // The time is accurate, and differs between the requests that are refused together.
+        return CallResponse::NotRun(not_run);
+    }
     let jitter = rand::rng().random();
     let retry_after = match not_run.reason {
         NotRunReason::Deadline => admission::retry_after(not_run.retry_after, useful_wait, jitter),
--- a/crates/dogwoodshunt_gateway/src/control/agents.rs
+++ b/crates/dogwoodshunt_gateway/src/control/agents.rs
@@ -216,6 +216,8 @@
             unattended_since: None,
             _connector: self.connect(agent, address),
         };
+        self.quotas
+            .on_agent_listed(now, agent, state.address_text());
         self.agents.insert(agent, state);
         self.agents_by_address.insert(address, agent);
         agent
@@ -224,6 +226,7 @@
     fn update_leaving_agents(&mut self) {
         for (agent, state) in &self.agents {
             self.router.set_leaving(*agent, !state.is_staying());
+            self.quotas.set_agent_leaving(*agent, !state.is_staying());
         }
     }
 
@@ -243,6 +246,7 @@
         state.leaving = false;
         state.versions_sent = VersionsSent::None;
         state.unattended_since = None;
+        self.quotas.on_agent_connected(now, agent);
         self.router.set_node(agent, identity.node);
         self.router.set_domain(agent, identity.domain);
         self.send_upstream_config(agent);
@@ -277,6 +281,7 @@
         };
         tx.close();
         state.leaving = false;
+        self.quotas.on_agent_disconnected(now, agent);
         let unattended = cause == DisconnectCause::ConnectionClosed;
         state.unattended_since = unattended.then_some(now);
         self.router.set_usable(agent, false);
@@ -326,6 +331,7 @@
                 self.router.on_report(now, agent, ReportUpdate::Load(*load));
             }
             Frame::NotRun { request, not_run } => self.on_declined(now, agent, request, not_run),
+            Frame::QuotaGrant(grant) => self.quotas.on_grant(now, agent, &grant),
             Frame::Ack { .. }
             | Frame::Admit(_)
             | Frame::Cancel { .. }
@@ -340,6 +346,7 @@
             | Frame::Head { .. }
             | Frame::Hello(_)
             | Frame::Pull { .. }
+            | Frame::QuotaRequest(_)
             | Frame::Resume { .. }
             | Frame::Snapshot { .. }
             | Frame::Submit(_)
@@ -362,6 +369,7 @@
         }
         self.entries
             .on_report(now, heartbeat.connected_entries, heartbeat.entry_rank);
+        self.quotas.on_entry_count(now, heartbeat.connected_entries);
         self.retry_budgets.set_entry_count(self.entries.count());
         self.on_engine_crashes(now, agent, &heartbeat.crashes);
         self.on_request_observations(now, &heartbeat.requests);
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -5,7 +5,7 @@
 //! `store` applies the records of the
 //! platform's store, `placement` places model requests on engines, `reachability` leaves out engines that are not reached, `announcements` and
 //! `rate_limits` apply what upstreams announce in their responses, `entries` keeps the number of
-//! entries, `stream_origins` knows which software versions began streams, and `plain_service` selects upstreams of plain services, which have no engines.
+//! entries, `quotas` charges requests to workspaces, `stream_origins` knows which software versions began streams, and `plain_service` selects upstreams of plain services, which have no engines.
 
 mod agents;
 mod announcements;
@@ -14,6 +14,7 @@
 mod placement;
 mod plain_service;
 mod quarantine;
+mod quotas;
 mod rate_limits;
 mod reachability;
 pub mod shared_state;
@@ -36,6 +37,7 @@
 use crate::control::placement::GrantedRun;
 use crate::control::placement::PendingPlacement;
 use crate::control::plain_service::RetryBudgets;
+use crate::control::quotas::QuotaState;
 use crate::control::rate_limits::RateLimits;
 use crate::control::shared_state::SharedState;
 use crate::metrics::Metrics;
@@ -70,6 +72,7 @@
 use dogwoodshunt_types::StreamId;
 use dogwoodshunt_types::UnixMillis;
 use dogwoodshunt_types::UpstreamName;
+use dogwoodshunt_types::WorkspaceName;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::frame::StreamOrigin;
@@ -146,6 +149,24 @@
         /// Placement by which the run was granted.
         placement_id: PlacementId,
     },
+    /// A request of a workspace that has a quota pays its cost.
+    TakeQuota {
+        /// Name of the workspace.
+        workspace: WorkspaceName,
+        /// Cost of the request.
+        cost: u64,
+        /// Longest time that the request can wait.
+        wait: Duration,
+        /// Receives the refusal, if the request is refused.
+        reply_tx: Sender<Result<(), NotRun>>,
+    },
+    /// A request that has paid its cost has not run.
+    RefundQuota {
+        /// Name of the workspace.
+        workspace: WorkspaceName,
+        /// Cost of the request.
+        cost: u64,
+    },
     /// A request takes a stream up, and the origin of the stream is needed.
     FindOrigin {
         /// The stream.
@@ -289,6 +310,7 @@
     /// Era of the store in which the configuration in force was read.
     config_era: StoreEra,
     entries: Entries,
+    quotas: QuotaState,
     retry_budgets: RetryBudgets,
     pending: HashMap<PlacementId, PendingPlacement>,
     granted_runs: HashMap<PlacementId, GrantedRun>,
@@ -332,6 +354,7 @@
             store_era: 0,
             config_era: 0,
             entries,
+            quotas: QuotaState::new(now),
             retry_budgets,
             pending: HashMap::new(),
             granted_runs: HashMap::new(),
@@ -421,6 +444,15 @@
                 req,
                 reply_tx,
             } => self.on_place(now, placement_id, *req, reply_tx),
+            ControlEvent::TakeQuota {
+                workspace,
+                cost,
+                wait,
+                reply_tx,
+            } => self.on_take_quota(now, workspace, cost, wait, reply_tx),
+            ControlEvent::RefundQuota { workspace, cost } => {
+                self.quotas.refund(now, &workspace, cost);
+            }
             ControlEvent::TakeRetry {
                 service,
                 fingerprint,
@@ -486,6 +518,7 @@
         }
         self.signal_silent_agents(now);
         self.expire_stream_lookups(now);
+        self.tick_quotas(now);
         if self.next_heartbeat_at <= now {
             self.next_heartbeat_at = now + self.settings.heartbeat_interval;
             self.send_heartbeats(now);
--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -120,6 +120,7 @@
         if is_newer {
             let revision = i64::try_from(config.revision).unwrap_or(i64::MAX);
             self.context.metrics.config_revision.set(revision);
+            self.quotas.set_config(&config);
             self.context
                 .shared_state
                 .set_routes(RouteTable::new(config));
--- a/crates/dogwoodshunt_gateway/src/metrics.rs
+++ b/crates/dogwoodshunt_gateway/src/metrics.rs
@@ -33,6 +33,22 @@
     pub outcome: &'static str,
 }
 
+/// Labels of decisions on the requests of a workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceOutcomeLabels {
+    /// Name of the workspace; `other` beyond the first 64 of them.
+    pub workspace: String,
+    /// `granted`, `refused` or `unknown`.
+    pub outcome: &'static str,
+}
+
+/// Label of a workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabels {
+    /// Name of the workspace; `other` beyond the first 64 of them.
+    pub workspace: String,
+}
+
 /// Labels of requests to the platform's store.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct StoreOutcomeLabels {
@@ -91,6 +107,12 @@
     pub quarantined_requests: Gauge,
     /// Number of connected agents.
     pub connected_agents: Gauge,
+    /// Requests of workspaces that have a quota, by decision.
+    pub quota_requests: Family<WorkspaceOutcomeLabels, Counter>,
+    /// Tokens of workspaces that this entry holds.
+    pub quota_tokens_in_hand: Family<WorkspaceLabels, Gauge>,
+    /// Changes of the ledgers of workspaces.
+    pub quota_ledger_changes: Family<WorkspaceLabels, Counter>,
 }
 
 impl Metrics {
@@ -113,7 +135,11 @@
             quarantined_parts: Gauge::default(),
             quarantined_requests: Gauge::default(),
             connected_agents: Gauge::default(),
+            quota_requests: Family::default(),
+            quota_tokens_in_hand: Family::default(),
+            quota_ledger_changes: Family::default(),
         };
+        registered.register_quotas(registry);
         let requests = registered.requests.clone();
         registry.register("requests", "Requests ended, by outcome", requests);
         let streams = registered.streams.clone();
@@ -171,4 +197,16 @@
         registry.register("quarantined_requests", help, requests);
         registered
     }
+
+    fn register_quotas(&self, registry: &mut Registry) {
+        let requests = self.quota_requests.clone();
+        let help = "Requests of workspaces that have a quota, by decision";
+        registry.register("quota_requests", help, requests);
+        let tokens = self.quota_tokens_in_hand.clone();
+        let help = "Tokens of workspaces that this entry holds";
+        registry.register("quota_tokens_in_hand", help, tokens);
+        let changes = self.quota_ledger_changes.clone();
+        let help = "Changes of the ledgers of workspaces";
+        registry.register("quota_ledger_changes", help, changes);
+    }
 }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -4,6 +4,7 @@
 mod lost_requests;
 mod overview;
 mod quarantine;
+mod quotas;
 mod rate_limits;
 mod reachability;
 mod records;
@@ -65,12 +66,15 @@
 use dogwoodshunt_wire::frame::Heartbeat;
 use dogwoodshunt_wire::frame::Identity;
 use dogwoodshunt_wire::handshake::SharedKey;
+use dogwoodshunt_workspaces::Quota;
+use dogwoodshunt_workspaces::Workspace;
+use dogwoodshunt_workspaces::workspace::QuotaUnit;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Decodes records of the form `config NUMBER [other]`, `version ADAPTER@VERSION` and
+/// Decodes records of the form `config NUMBER [other|quota]`, `version ADAPTER@VERSION` and
 /// `upstream SERVICE HOST STATE [STARTED SOFTWARE]`.
 struct TestDecoder;
 
@@ -88,6 +92,11 @@
                 config.services[0].max_connections += 1;
                 DecodedRecord::Config(Box::new(config))
             }
+            ["config", number, "quota"] => {
+                let mut config = config(number.parse().unwrap());
+                config.workspaces = Some(vec![workspace_with_quota()]);
+                DecodedRecord::Config(Box::new(config))
+            }
             ["version", adapter] => DecodedRecord::Version(AdapterRef::parse(adapter).unwrap()),
             ["upstream", service, host, state, ref software @ ..] => {
                 let started = software
@@ -112,6 +121,19 @@
     }
 }
 
+fn workspace_with_quota() -> Workspace {
+    Workspace {
+        name: "w".into(),
+        keys: Vec::new(),
+        rank: None,
+        quota: Some(Quota {
+            rate_per_second: 1_000,
+            burst: 1_000,
+            unit: QuotaUnit::Requests,
+        }),
+    }
+}
+
 fn config(revision: u64) -> Config {
     let engine = EngineConfig {
         base_model: "base".into(),
--- a/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/lost_requests.rs
@@ -195,6 +195,7 @@
         arrived: Instant::now(),
         caller_timeout: None,
         model: None,
+        stated_tokens: None,
         resume_after: None,
         resumes: None,
         key: None,
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -150,6 +150,8 @@
         | NotRunReason::CrashesEngines
         | NotRunReason::Deadline
         | NotRunReason::KeyValueServiceUnreachable
+        | NotRunReason::OverQuota
+        | NotRunReason::QuotaUnknown
         | NotRunReason::SoftwareGone
         | NotRunReason::SoftwareUnknown
         | NotRunReason::Withdrawn => false,
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -72,11 +72,15 @@
     LoadFailed,
     /// No upstream that is known to be up can run the request.
     NoUpstream,
+    /// The workspace of the caller has used its quota.
+    OverQuota,
     /// The request queue is full.
     Overloaded,
     /// All upstreams that could run the request have asked for a pause or have reached their
     /// rate limits.
     Paused,
+    /// It is not known whether the workspace of the caller has used its quota.
+    QuotaUnknown,
     /// No upstream runs the software version that began the stream to be resumed.
     SoftwareGone,
     /// The software version that began the stream to be resumed is not known.
@@ -101,8 +105,10 @@
             Self::Leaving => "the upstream is leaving",
             Self::LoadFailed => "the adapter could not be loaded",
             Self::NoUpstream => "no upstream is up that can run the request",
+            Self::OverQuota => "the workspace has used its quota",
             Self::Overloaded => "the queue is full",
             Self::Paused => "all upstreams have asked for a pause or reached their rate limits",
+            Self::QuotaUnknown => "it is not known whether the workspace has used its quota",
             Self::SoftwareGone => "no upstream runs the software version that began the stream",
             Self::SoftwareUnknown => "the software version that began the stream is not known",
             Self::Stale => "the node cannot confirm that its catalogue is in force",
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -4,6 +4,8 @@
 use dogwoodshunt_catalogue::LogEntry;
 use dogwoodshunt_catalogue::snapshot::SnapshotShard;
 use dogwoodshunt_freshness::FreshnessSummary;
+use dogwoodshunt_quotas::QuotaGrant;
+use dogwoodshunt_quotas::QuotaRequest;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::demand::PromptPartId;
@@ -33,7 +35,7 @@
 use std::time::Duration;
 
 /// Version of the protocol; both sides of a connection must speak the same one.
-pub const PROTOCOL_VERSION: u32 = 4;
+pub const PROTOCOL_VERSION: u32 = 5;
 
 /// Maximum number of response bytes per attempt that an agent sends before the entry acknowledges
 /// them.
@@ -164,6 +166,12 @@
         /// Revision of the sender's catalogue.
         after: Revision,
     },
+    /// Agent to entry: answers of the ledger of the agent.
+    #[serde(rename = "QG")]
+    QuotaGrant(Box<QuotaGrant>),
+    /// Entry to agent: registers with the ledger of the agent and asks for tokens.
+    #[serde(rename = "Q")]
+    QuotaRequest(Box<QuotaRequest>),
     /// Entry to agent: continue sending a response after a reconnect.
     Resume {
         /// Attempt that the response belongs to.
--- a/crates/dogwoodshunt_wire/src/tests.rs
+++ b/crates/dogwoodshunt_wire/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the codec and the handshake.
 
+mod quotas;
 mod reports;
 mod streams;
 
