Run requests with keys only by a proven recent configuration

A key that a configuration takes away must have no effect after a bounded time, also at an entry that does not reach the store, and an unknown key must not get 401 while the configuration that adds it is being written.

Requests to the store that were answered prove, as of the time at which they were sent (CLOCK_BOOTTIME), that the configuration was the newest one. The decision is in dogwoodshunt_workspaces. With the setting revocation_ms, the watch of the operators' records waits for a quarter of it, and extra watches without wait renew a proof that grows old. Keys are checked when a request is accepted and before each send. A 401 follows a confirmation, in any deployment whose configuration contains workspaces; otherwise the answer is 503.

Not yet tested here: the checks on the paths of a send, and the system end to end.

--- a/crates/dogwoodshunt_entry/src/api/response.rs
+++ b/crates/dogwoodshunt_entry/src/api/response.rs
@@ -100,6 +100,7 @@
             | NotRunReason::CrashesEngines
             | NotRunReason::Deadline
             | NotRunReason::Leaving
+            | NotRunReason::KeyUnconfirmed
             | NotRunReason::LoadFailed
             | NotRunReason::NoUpstream
             | NotRunReason::Paused
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -1,9 +1,10 @@
 //! Handling of callers' requests.
 //!
-//! [`CallHandler::serve`] finds the route. `model` then runs the request on an
+//! [`CallHandler::serve`] finds the route; `authorization` checks the key. `model` then runs the request on an
 //! engine, or `plain_service` sends it to an upstream of a plain service;
 //! `stream` relays the events of a model's response.
 
+mod authorization;
 mod fingerprint;
 mod guard;
 mod model;
@@ -277,9 +278,6 @@
         fingerprint: RequestFingerprint,
         history: &mut SendHistory,
     ) -> CallResponse {
-        let Some(caller) = route_table.identify(route, call.key.as_ref()) else {
-            return CallResponse::UnknownKey;
-        };
         let timeout = call
             .caller_timeout
             .unwrap_or(route.timeout)
@@ -289,6 +287,10 @@
         if !shared_state.accepts_request(Instant::now(), &route.name, deadline) {
             return CallResponse::NotRun(NotRun::new(NotRunReason::Leaving, SHUTDOWN_RETRY_AFTER));
         }
+        let caller = match self.authorize(&call, route, deadline).await {
+            Ok(caller) => caller,
+            Err(response) => return response,
+        };
         let destination = match self.find_destination(&call, route, deadline).await {
             Ok(Some(destination)) => destination,
             Ok(None) => return CallResponse::NoRoute,
--- a/crates/dogwoodshunt_gateway/src/call/model.rs
+++ b/crates/dogwoodshunt_gateway/src/call/model.rs
@@ -30,6 +30,7 @@
 use dogwoodshunt_types::NotRunReason;
 use dogwoodshunt_types::SoftwareVersion;
 use dogwoodshunt_types::Version;
+use dogwoodshunt_workspaces::CallerIdentity;
 use hyper::header;
 use slog::info;
 use slog::warn;
@@ -137,6 +138,7 @@
             let grant = grant_result
                 .and_then(|grant| self.check_time_for_run(routed, history).map(|()| grant))
                 .map_err(|not_run| history.refuse(not_run, self.useful_wait(routed, history)))?;
+            let caller = self.authorize_send(routed, history).await?;
             history.stage = Stage::Response;
             history.upstream = Some(grant.upstream.clone());
             let waited = granted_at
@@ -150,7 +152,14 @@
             metrics::observe_latency(&self.metrics.grant_wait_seconds, &routed.route.name, waited);
             let refused_before = history.refused_by.contains(&grant.upstream);
             let sent = self
-                .send(routed, &grant, &mut guard, resume_after, refused_before)
+                .send(
+                    routed,
+                    caller,
+                    &grant,
+                    &mut guard,
+                    resume_after,
+                    refused_before,
+                )
                 .await;
             let failure = match sent {
                 Ok(exchange) => {
@@ -282,6 +291,7 @@
     async fn send(
         &self,
         routed: &RoutedCall,
+        caller: CallerIdentity,
         grant: &Grant,
         guard: &mut RunGuard,
         resume_after: Option<u64>,
@@ -298,7 +308,7 @@
             resume_after,
             rate_limited: grant.rate_limited,
             refused_before,
-            caller: routed.caller.clone(),
+            caller,
         };
         let sent = async { Ok(self.upstream_client.send(&routed.call, &dispatch).await) };
         let timeout = async {
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -43,6 +43,8 @@
 
 /// Result of one send.
 enum SendOutcome {
+    /// The request may not be sent.
+    Denied(Box<CallResponse>),
     /// Nothing reached the upstream.
     Unreached(Box<str>),
     /// The upstream has refused the request without running it.
@@ -61,6 +63,7 @@
     /// Returns the value of the `outcome` label in metrics.
     fn as_str(&self) -> &'static str {
         match self {
+            Self::Denied(_) => "denied",
             Self::Unreached(_) => "unreached",
             Self::Refused => "not-run-full",
             Self::BrokenOff(_) | Self::Foreign(_) => "lost",
@@ -101,8 +104,9 @@
             history.upstream = Some(selected.upstream.clone());
             let may_repeat = history.sent + 1 < routed.route.max_attempts;
             let software = selected.software.clone();
-            let outcome = self.send_once(routed, selected, may_repeat).await;
+            let outcome = self.send_once(routed, selected, may_repeat, history).await;
             let should_retry = match outcome {
+                SendOutcome::Denied(response) => return last_failure.unwrap_or(*response),
                 SendOutcome::Unreached(_) => {
                     history.unreached += 1;
                     refusal = NotRunReason::Unreachable;
@@ -195,11 +199,24 @@
         routed: &RoutedCall,
         selected: SelectedUpstream,
         may_repeat: bool,
+        history: &SendHistory,
     ) -> SendOutcome {
+        let mut guard = CallGuard {
+            service: routed.service.clone(),
+            upstream: selected.upstream.clone(),
+            started: selected.started,
+            fingerprint: routed.fingerprint,
+            end: CallEnd::Neutral,
+            events: self.events.clone(),
+        };
+        let caller = match self.authorize_send(routed, history).await {
+            Ok(caller) => caller,
+            Err(response) => return SendOutcome::Denied(Box::new(response)),
+        };
         let now = Instant::now();
         let dispatch = Dispatch {
             address: selected.address,
-            upstream: selected.upstream.clone(),
+            upstream: selected.upstream,
             started: selected.started,
             version: None,
             time_left: routed.deadline.saturating_duration_since(now),
@@ -208,15 +225,7 @@
             rate_limited: selected.rate_limited,
             // No call is sent to an upstream twice.
             refused_before: false,
-            caller: routed.caller.clone(),
-        };
-        let mut guard = CallGuard {
-            service: routed.service.clone(),
-            upstream: selected.upstream,
-            started: selected.started,
-            fingerprint: routed.fingerprint,
-            end: CallEnd::Neutral,
-            events: self.events.clone(),
+            caller,
         };
         let attempt_deadline = match routed.route.kind {
             RouteKind::Idempotent if may_repeat => {
@@ -241,6 +250,7 @@
                 CallEnd::Failed
             }
             SendOutcome::BrokenOff(_) => CallEnd::Lost,
+            SendOutcome::Denied(_) => CallEnd::Neutral,
             SendOutcome::Refused | SendOutcome::Foreign(_) | SendOutcome::TimedOut => {
                 CallEnd::Failed
             }
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -3,12 +3,13 @@
 //! All input arrives as an [`ControlEvent`]. `agents` manages the agents beside
 //! engines, `quarantine` refuses prompts that crash engines, `lost_requests` requests that crash upstreams,
 //! `store` applies the records of the
-//! platform's store, `placement` places model requests on engines, `reachability` leaves out engines that are not reached, `announcements` and
+//! platform's store, `currency` observes whether the configuration is proven to be recent, `placement` places model requests on engines, `reachability` leaves out engines that are not reached, `announcements` and
 //! `rate_limits` apply what upstreams announce in their responses, `entries` keeps the number of
 //! entries, `stream_origins` knows which software versions began streams, and `plain_service` selects upstreams of plain services, which have no engines.
 
 mod agents;
 mod announcements;
+mod currency;
 mod entries;
 mod lost_requests;
 mod placement;
@@ -61,6 +62,7 @@
 use dogwoodshunt_streams::StreamMemory;
 use dogwoodshunt_types::AdapterName;
 use dogwoodshunt_types::AdapterRef;
+use dogwoodshunt_types::BootTime;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::RequestFingerprint;
@@ -126,6 +128,14 @@
         /// How the call ended.
         end: CallEnd,
     },
+    /// The store has answered a request for the operators' records; all changes in the answer were
+    /// sent before this event.
+    ConfigProven {
+        /// When the request was sent.
+        sent_at: BootTime,
+        /// Era of the store when it answered.
+        era: StoreEra,
+    },
     /// Records of the platform's store have changed.
     StoreChanged {
         /// Watched part of the store.
@@ -387,6 +397,9 @@
                     CallEnd::Failed | CallEnd::Neutral => {}
                 }
             }
+            ControlEvent::ConfigProven { sent_at, era } => {
+                self.context.shared_state.currency.on_answer(sent_at, era);
+            }
             ControlEvent::StoreChanged { topic, changes } => {
                 self.on_store_changed(now, topic, changes)
             }
@@ -484,6 +497,7 @@
         if self.registry.drop_expired(now) {
             self.sync_upstreams(now);
         }
+        self.observe_proof();
         self.signal_silent_agents(now);
         self.expire_stream_lookups(now);
         if self.next_heartbeat_at <= now {
--- a/crates/dogwoodshunt_gateway/src/control/shared_state.rs
+++ b/crates/dogwoodshunt_gateway/src/control/shared_state.rs
@@ -1,5 +1,6 @@
 //! State that the control thread shares with the traffic threads.
 
+use crate::currency_gate::CurrencyGate;
 use async_channel::Receiver;
 use async_channel::Sender;
 use dogwoodshunt_serving::config::RouteTable;
@@ -36,6 +37,8 @@
 /// shutting down decides whether to accept a request.
 #[derive(Debug, Default)]
 pub struct SharedState {
+    /// Whether the configuration in force is known to be recent enough.
+    pub currency: CurrencyGate,
     routes: Mutex<Option<Arc<RouteTable>>>,
     upstreams_known: AtomicBool,
     /// Set when the process begins to shut down.
@@ -84,6 +87,14 @@
 }
 
 impl SharedState {
+    /// Creates the state of an entry that has just started.
+    pub fn new(currency: CurrencyGate) -> Self {
+        Self {
+            currency,
+            ..Self::default()
+        }
+    }
+
     /// Returns the routes in force, or `None` until a configuration has been
     /// read.
     pub fn routes(&self) -> Option<Arc<RouteTable>> {
--- a/crates/dogwoodshunt_gateway/src/control/store.rs
+++ b/crates/dogwoodshunt_gateway/src/control/store.rs
@@ -107,6 +107,8 @@
         if config.revision < current_revision
             || (config.revision == current_revision && !replaces_discarded)
         {
+            let currency = &self.context.shared_state.currency;
+            currency.on_config_read(era, config.revision);
             return;
         }
         self.config_era = era;
@@ -118,11 +120,15 @@
             &format_args!("{} after {current_revision}", config.revision),
         );
         if is_newer {
+            self.log_key_changes(current, &config);
+            let read_revision = config.revision;
             let revision = i64::try_from(config.revision).unwrap_or(i64::MAX);
             self.context.metrics.config_revision.set(revision);
             self.context
                 .shared_state
                 .set_routes(RouteTable::new(config));
+            let currency = &self.context.shared_state.currency;
+            currency.on_config_read(era, read_revision);
             self.send_upstream_config_to_all();
         }
     }
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -7,9 +7,12 @@
 use crate::control::ControlSettings;
 use crate::control::shared_state::SharedState;
 use crate::control::shared_state::Shutdown;
+use crate::currency_gate::CurrencyGate;
 use crate::metrics::Metrics;
 use crate::platform::RecordDecoder;
 use crate::platform::UpstreamClient;
+use crate::proof_requests::ProofRequester;
+use crate::proof_requests::WatchProofs;
 use crate::settings::GatewaySettings;
 use crate::watch::PrefixWatcher;
 use crate::watch::Topic;
@@ -20,6 +23,7 @@
 use dogwoodshunt_border::http::server::Handler;
 use dogwoodshunt_border::kv::WatchKv;
 use dogwoodshunt_routing::Router;
+use dogwoodshunt_runtime::boot_clock::BootClock;
 use dogwoodshunt_runtime::link::Credentials;
 use dogwoodshunt_runtime::listen::ListenError;
 use dogwoodshunt_runtime::listen::listen;
@@ -129,26 +133,46 @@
         let entry_metrics = Metrics::new(&mut registry);
         let metrics_handler = Arc::new(MetricsHandler::new(registry, log.clone()));
         let (events, event_rx) = async_channel::unbounded();
-        let shared_state = Arc::new(SharedState::default());
-        for (topic, prefix, watch_delay) in [
-            (Topic::Operator, D::OPERATOR_PREFIX, Duration::ZERO),
+        let currency = CurrencyGate::new(settings.revocation_limit(), Arc::new(|| BootClock.now()));
+        let shared_state = Arc::new(SharedState::new(currency));
+        let proofs = Arc::new(WatchProofs::new(shared_state.clone()));
+        for (topic, prefix, watch_timeout, watch_delay, proofs) in [
+            (
+                Topic::Operator,
+                D::OPERATOR_PREFIX,
+                settings.operator_watch_timeout(),
+                Duration::ZERO,
+                Some(proofs.clone()),
+            ),
             (
                 Topic::Upstreams,
                 D::UPSTREAM_PREFIX,
+                settings.change_limits.watch_timeout(),
                 settings.change_limits.list_watch_delay(),
+                None,
             ),
         ] {
             let watcher = PrefixWatcher {
                 kv: platform.kv.clone(),
                 topic,
                 prefix,
-                watch_timeout: settings.change_limits.watch_timeout(),
+                watch_timeout,
                 watch_delay,
+                proofs,
                 events: events.clone(),
                 log: log.clone(),
             };
             traffic.spawn(watcher.run()).detach();
         }
+        let requester = ProofRequester {
+            kv: platform.kv.clone(),
+            prefix: D::OPERATOR_PREFIX,
+            proofs,
+            events: events.clone(),
+            traffic: traffic.clone(),
+            metrics: entry_metrics.clone(),
+        };
+        traffic.spawn(requester.run()).detach();
         let (settings_changes, settings_events) = (platform.settings_changes, events.clone());
         let forward_settings = async move {
             while let Ok(settings) = settings_changes.recv().await {
--- a/crates/dogwoodshunt_gateway/src/lib.rs
+++ b/crates/dogwoodshunt_gateway/src/lib.rs
@@ -18,7 +18,9 @@
 //!
 //! One thread owns the control state ([`control`]). Traffic threads handle
 //! requests ([`call`]), watch the platform's store ([`watch`]) and maintain the
-//! connections to agents ([`connector`]). [`overview`] compares the contents of
+//! connections to agents ([`connector`]). [`currency_gate`] knows whether the configuration is
+//! recent enough for requests with keys, and [`proof_requests`] asks the store if the watch does
+//! not tell. [`overview`] compares the contents of
 //! the store with the metrics of running processes, for operators.
 //!
 //! Read [`platform`] and [`settings`] first, then [`gateway`], [`control`] and
@@ -27,10 +29,12 @@
 pub mod call;
 pub mod connector;
 pub mod control;
+pub mod currency_gate;
 pub mod gateway;
 pub mod metrics;
 pub mod overview;
 pub mod platform;
+pub mod proof_requests;
 pub mod settings;
 pub mod watch;
 
--- a/crates/dogwoodshunt_gateway/src/metrics.rs
+++ b/crates/dogwoodshunt_gateway/src/metrics.rs
@@ -33,6 +33,13 @@
     pub outcome: &'static str,
 }
 
+/// Label of the outcome of something that has no other label.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct OutcomeLabels {
+    /// Outcome.
+    pub outcome: &'static str,
+}
+
 /// Labels of requests to the platform's store.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct StoreOutcomeLabels {
@@ -83,6 +90,13 @@
     pub retries: Family<ServiceOutcomeLabels, Counter>,
     /// Requests to the platform's store, by outcome.
     pub store_requests: Family<StoreOutcomeLabels, Counter>,
+    /// Requests with keys that were refused since the configuration was not proven to be recent.
+    pub refusals_without_proof: Counter,
+    /// Waits for a confirmation that a key is unknown, by outcome.
+    pub confirmations: Family<OutcomeLabels, Counter>,
+    /// Age of the proof that the configuration was the newest one, in milliseconds; -1 if there is
+    /// none.
+    pub config_proof_age_ms: Gauge,
     /// Revision of the configuration in force.
     pub config_revision: Gauge,
     /// Number of prompt parts that are refused since they crash engines.
@@ -94,6 +108,16 @@
 }
 
 impl Metrics {
+    /// Counts a wait for a confirmation that a key is unknown.
+    pub fn count_confirmation(&self, is_confirmed: bool) {
+        let outcome = match is_confirmed {
+            true => "confirmed",
+            false => "unconfirmed",
+        };
+        let labels = OutcomeLabels { outcome };
+        self.confirmations.get_or_create(&labels).inc();
+    }
+
     /// Creates the metrics and registers them.
     pub fn new(registry: &mut Registry) -> Self {
         let latencies = || LatencyFamily::new_with_constructor(metrics::latency_histogram);
@@ -109,6 +133,9 @@
             left_out_engines: Family::default(),
             retries: Family::default(),
             store_requests: Family::default(),
+            refusals_without_proof: Counter::default(),
+            confirmations: Family::default(),
+            config_proof_age_ms: Gauge::default(),
             config_revision: Gauge::default(),
             quarantined_parts: Gauge::default(),
             quarantined_requests: Gauge::default(),
@@ -158,6 +185,16 @@
         ] {
             registry.register(name, help, family.clone());
         }
+        let refusals = registered.refusals_without_proof.clone();
+        let help = "Requests with keys refused since the configuration was not proven to be recent";
+        registry.register("refusals_without_proof", help, refusals);
+        let confirmations = registered.confirmations.clone();
+        let help = "Waits for a confirmation that a key is unknown, by outcome";
+        registry.register("key_confirmations", help, confirmations);
+        let proof_age = registered.config_proof_age_ms.clone();
+        let help =
+            "Age of the proof that the configuration was the newest, in ms; -1 without proof";
+        registry.register("config_proof_age_ms", help, proof_age);
         let revision = registered.config_revision.clone();
         let help = "Revision of the configuration in force";
         registry.register("config_revision", help, revision);
--- a/crates/dogwoodshunt_gateway/src/overview.rs
+++ b/crates/dogwoodshunt_gateway/src/overview.rs
@@ -16,8 +16,9 @@
 const AGENTS_CONNECTED: &str = "dogwoodshunt_agents_connected";
 
 /// Gauges of entries and agents that the overview shows.
-const SHOWN_GAUGES: [&str; 6] = [
+const SHOWN_GAUGES: [&str; 7] = [
     CONFIG_REVISION,
+    "dogwoodshunt_config_proof_age_ms",
     AGENTS_CONNECTED,
     "dogwoodshunt_runs_granted",
     "dogwoodshunt_runs_queued",
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -9,6 +9,7 @@
 use dogwoodshunt_runtime::settings::validate_range;
 use dogwoodshunt_runtime::settings::validate_shared_key;
 use dogwoodshunt_types::BootId;
+use dogwoodshunt_workspaces::RevocationLimit;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -39,6 +40,10 @@
     /// Times within which changes in the key-value service must take effect.
     #[serde(default)]
     pub change_limits: ChangeLimits,
+    /// Time after which a key that a configuration takes away must have no effect, even if this
+    /// entry does not reach the key-value service, in milliseconds; `None` if there is no such limit.
+    #[serde(default)]
+    pub revocation_ms: Option<u64>,
     /// Weights and limits for the placement of model requests on engines.
     #[serde(default)]
     pub placing: PlacementSettings,
@@ -196,6 +201,19 @@
         self.retries.ratio * RETRY_RATIO_FRACTION
     }
 
+    /// Returns the limit on the age of the configuration by which requests with keys run.
+    pub fn revocation_limit(&self) -> Option<RevocationLimit> {
+        let revocation = Duration::from_millis(self.revocation_ms?);
+        Some(RevocationLimit::new(revocation))
+    }
+
+    /// Returns the longest time for which a watch of the operators' records stays open.
+    pub fn operator_watch_timeout(&self) -> Duration {
+        let limit = self.revocation_limit();
+        let longest = limit.map_or(Duration::MAX, |limit| limit.max_watch_wait());
+        self.change_limits.watch_timeout().min(longest)
+    }
+
     /// Returns the time from SIGTERM until the platform kills the process.
     pub fn grace_period(&self) -> Duration {
         Duration::from_millis(self.grace_ms)
@@ -223,6 +241,9 @@
             100,
             60_000,
         )?;
+        if let Some(revocation_ms) = self.revocation_ms {
+            validate_range("revocation_ms", revocation_ms, 1_000, 600_000)?;
+        }
         self.placing.validate()
     }
 }
--- a/crates/dogwoodshunt_gateway/src/tests/restore.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/restore.rs
@@ -121,6 +121,7 @@
         prefix: "op/",
         watch_timeout: Duration::ZERO,
         watch_delay: Duration::ZERO,
+        proofs: None,
         events,
         log: telemetry::discard_logger(),
     };
--- a/crates/dogwoodshunt_gateway/src/tests/watch.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/watch.rs
@@ -185,6 +185,7 @@
             prefix: "op/",
             watch_timeout: Duration::ZERO,
             watch_delay: Duration::ZERO,
+            proofs: None,
             events,
             log: telemetry::discard_logger(),
         };
--- a/crates/dogwoodshunt_gateway/src/watch.rs
+++ b/crates/dogwoodshunt_gateway/src/watch.rs
@@ -8,6 +8,7 @@
 //! copy since, the prefix is listed again.
 
 use crate::control::ControlEvent;
+use crate::proof_requests::WatchProofs;
 use async_channel::Sender;
 use dogwoodshunt_border::kv::KeyChange;
 use dogwoodshunt_border::kv::KvError;
@@ -15,6 +16,8 @@
 use dogwoodshunt_border::kv::StorePosition;
 use dogwoodshunt_border::kv::WatchKv;
 use dogwoodshunt_border::kv::WatchOutcome;
+use dogwoodshunt_types::BootTime;
+use dogwoodshunt_types::StoreEra;
 use rand::RngExt;
 use slog::Logger;
 use slog::info;
@@ -63,6 +66,9 @@
     /// Delay between two watch requests; limits the number of requests for
     /// prefixes that change more often than the entry needs to learn of.
     pub watch_delay: Duration,
+    /// Receives the position of the watch and what its answers prove; `None` if nothing depends on
+    /// how recent the records are.
+    pub proofs: Option<Arc<WatchProofs>>,
     /// Sends changes to the control thread.
     pub events: Sender<ControlEvent>,
     /// Logger for outages of the store.
@@ -74,6 +80,8 @@
     pub async fn run(self) {
         let mut failures = 0;
         loop {
+            self.set_position(None);
+            let sent_at = self.now();
             let listed = self.kv.list("list", self.prefix).await;
             let Some(listing) = self.report_result(listed, &mut failures).await else {
                 continue;
@@ -84,7 +92,10 @@
             if !self.send_listing(listing).await {
                 return;
             }
+            self.set_position(Some(after));
+            self.send_proof(sent_at, after.era).await;
             loop {
+                let sent_at = self.now();
                 let watched = self
                     .kv
                     .watch("watch", self.prefix, after, self.watch_timeout)
@@ -95,6 +106,8 @@
                         if !changes.is_empty() && !self.send_changes(changes).await {
                             return;
                         }
+                        self.set_position(Some(after));
+                        self.send_proof(sent_at, after.era).await;
                     }
                     Some(WatchOutcome::Compacted) => {
                         info!(self.log, "requested revision compacted, listing the prefix again";
@@ -153,6 +166,28 @@
         self.events.send(event).await.is_ok()
     }
 
+    /// Returns when the next request is sent, if its answer proves something.
+    fn now(&self) -> Option<BootTime> {
+        self.proofs.as_ref().map(|proofs| proofs.now())
+    }
+
+    fn set_position(&self, position: Option<StorePosition>) {
+        if let Some(proofs) = &self.proofs {
+            proofs.set_position(position);
+        }
+    }
+
+    /// Reports what an answer proves, after all changes in it.
+    async fn send_proof(&self, sent_at: Option<BootTime>, era: StoreEra) {
+        if let Some(sent_at) = sent_at {
+            // The channel closes only while the process exits.
+            let _ = self
+                .events
+                .send(ControlEvent::ConfigProven { sent_at, era })
+                .await;
+        }
+    }
+
     async fn send_changes(&self, changes: Vec<KeyChange>) -> bool {
         let topic = self.topic;
         let event = ControlEvent::StoreChanged { topic, changes };
--- a/crates/dogwoodshunt_routing/src/retry.rs
+++ b/crates/dogwoodshunt_routing/src/retry.rs
@@ -149,6 +149,7 @@
         NotRunReason::Cancelled
         | NotRunReason::CrashesEngines
         | NotRunReason::Deadline
+        | NotRunReason::KeyUnconfirmed
         | NotRunReason::KeyValueServiceUnreachable
         | NotRunReason::SoftwareGone
         | NotRunReason::SoftwareUnknown
--- a/crates/dogwoodshunt_runtime/src/lib.rs
+++ b/crates/dogwoodshunt_runtime/src/lib.rs
@@ -10,8 +10,10 @@
 //! logs, [`traffic`] for the threads that carry traffic and [`shutdown`] for
 //! termination signals. The processes themselves use [`listen`] to bind addresses,
 //! [`link`] to exchange frames, [`ownership`] to take over upstreams, [`metrics`]
-//! to expose metrics and [`nondeterminism`] for random numbers and the wall clock.
+//! to expose metrics, [`nondeterminism`] for random numbers and the wall clock, and
+//! [`boot_clock`] for times that count the suspension of the machine.
 
+pub mod boot_clock;
 pub mod link;
 pub mod listen;
 pub mod metrics;
--- a/crates/dogwoodshunt_types/src/lib.rs
+++ b/crates/dogwoodshunt_types/src/lib.rs
@@ -4,10 +4,11 @@
 //! candidates and how violations of invariants are counted. The crate makes no
 //! serving decisions, does no I/O and reads no clock.
 //!
-//! Read [`id`] first, then [`adapter`], [`outcome`], [`rate_limit`], [`rendezvous`]
-//! and [`invariant`].
+//! Read [`id`] first, then [`adapter`], [`boot_time`], [`outcome`], [`rate_limit`],
+//! [`rendezvous`] and [`invariant`].
 
 pub mod adapter;
+pub mod boot_time;
 pub mod id;
 pub mod invariant;
 pub mod outcome;
@@ -18,6 +19,7 @@
 mod tests;
 
 pub use crate::adapter::AdapterRef;
+pub use crate::boot_time::BootTime;
 pub use crate::id::AdapterName;
 pub use crate::id::BootId;
 pub use crate::id::Epoch;
--- a/crates/dogwoodshunt_types/src/outcome.rs
+++ b/crates/dogwoodshunt_types/src/outcome.rs
@@ -68,6 +68,8 @@
     /// The upstream, or the node that received the request, is leaving and accepts no
     /// new requests.
     Leaving,
+    /// The node cannot confirm that the key of the request is in force, or not in force.
+    KeyUnconfirmed,
     /// The adapter could not be loaded.
     LoadFailed,
     /// No upstream that is known to be up can run the request.
@@ -99,6 +101,7 @@
             Self::CrashesEngines => "the request or a part of its prompt has crashed upstreams",
             Self::Deadline => "the request cannot run before its deadline",
             Self::Leaving => "the upstream is leaving",
+            Self::KeyUnconfirmed => "the node cannot confirm whether the key is in force",
             Self::LoadFailed => "the adapter could not be loaded",
             Self::NoUpstream => "no upstream is up that can run the request",
             Self::Overloaded => "the queue is full",
--- a/crates/dogwoodshunt_workspaces/src/tests.rs
+++ b/crates/dogwoodshunt_workspaces/src/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of the look-up of workspaces.
 
+mod currency;
+mod key_changes;
+
 use crate::KeyDigest;
 use crate::Workspace;
 use crate::WorkspaceTable;
