Bound what clients may cost a process, by one budget for all listeners

Cause: a body was buffered in full for each connection, and nothing counted bytes or connections for the whole process. Tiny chunks were kept as pieces, heads grew the HTTP library's buffers, and buffered responses stayed for callers that did not read.

Change: the new crate dogwoodshunt_limits decides, without I/O, which connections are admitted, which bytes may be buffered and which connections give way. Every listener of the entry and the agent on the platform and of the own interface takes its connections from one budget. Bytes are leased before they are read: an announced length at once, chunked bodies as one growing buffer, large heads, buffered responses. Bodies that stall get 408, those without room 503 with Retry-After; nothing has run then. A connection is read on within bounds after such a response. A peer that reads nothing for 15 s is closed. An agent takes messages of 4 KiB at most from a peer that has not proved the key. The section `limits` of the settings gives memory and descriptors of the host; deploy/ fills it in. Counter client_limits, log line `client reached a limit` at most every 10 s for each limit. docs/design/client-limits.md.

Tested: cargo test -p dogwoodshunt_limits -p dogwoodshunt_border -p dogwoodshunt_runtime -p dogwoodshunt_gateway -p dogwoodshunt_engine_agent -p dogwoodshunt_entry passes. outside_limits, debug build on a loaded machine (load 20): one run of the 25 cases on the platform passes, with peaks of 14 to 37 MB (before: up to 300) and at most 209 descriptors (before: up to 823). Not run: the other tests of the workspace, and five runs in a row.

--- a/crates/dogwoodshunt_agent/src/agent.rs
+++ b/crates/dogwoodshunt_agent/src/agent.rs
@@ -7,7 +7,11 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use dogwoodshunt_border::http::Client;
+use dogwoodshunt_border::http::limits::ProcessLimits;
+use dogwoodshunt_border::http::server::Endpoint;
 use dogwoodshunt_border::kv::Etcd;
+use dogwoodshunt_limits::Listener;
+use dogwoodshunt_runtime::limits;
 use dogwoodshunt_runtime::link;
 use dogwoodshunt_runtime::link::Credentials;
 use dogwoodshunt_runtime::listen::ListenError;
@@ -101,8 +105,10 @@
             identity: self.identity,
             key: SharedKey::new(&self.settings.shared_key),
         });
+        let observer = limits::logged(&self.log, |_| {});
+        let client_limits = ProcessLimits::new(self.settings.limits.limits(), observer);
         let accept = accept_all(
-            self.listener,
+            Endpoint::limited(self.listener, &client_limits, Listener::Links),
             credentials,
             self.traffic.clone(),
             events_tx,
@@ -142,23 +148,20 @@
 }
 
 async fn accept_all(
-    listener: TcpListener,
+    endpoint: Endpoint,
     credentials: Arc<Credentials>,
     traffic: TrafficExecutor,
     events_tx: Sender<ControlEvent>,
     log: Logger,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Usually the process is out of file descriptors. Retries after a pause, in which
-            // connections may close and free some.
-            smol::Timer::after(Duration::from_millis(10)).await;
+        let Some((stream, account)) = endpoint.accept().await else {
             continue;
         };
         let (credentials, events_tx) = (credentials.clone(), events_tx.clone());
         let (link_traffic, log) = (traffic.clone(), log.clone());
         let handshake = async move {
-            match link::accept(stream, &credentials, &link_traffic, &log).await {
+            match link::accept(stream, account, &credentials, &link_traffic, &log).await {
                 Ok(link) => {
                     let _ = events_tx.send(ControlEvent::EntryConnected { link }).await;
                 }
--- a/crates/dogwoodshunt_agent/src/settings.rs
+++ b/crates/dogwoodshunt_agent/src/settings.rs
@@ -3,6 +3,7 @@
 use dogwoodshunt_residency::SchedulerSettings;
 use dogwoodshunt_residency::upstream::Limits;
 use dogwoodshunt_residency::upstream::UpstreamKind;
+use dogwoodshunt_runtime::limits::LimitSettings;
 use dogwoodshunt_runtime::program::ProgramSettings;
 use dogwoodshunt_runtime::settings::InvalidSetting;
 use dogwoodshunt_runtime::settings::NodeSettings;
@@ -54,6 +55,9 @@
     /// Number of traffic threads.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: u64,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Destinations of logs and metrics.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -178,6 +182,7 @@
     fn validate(&self) -> Result<(), InvalidSetting> {
         self.node.validate()?;
         validate_shared_key(&self.shared_key)?;
+        self.limits.validate()?;
         validate_range("freshness_limit_ms", self.freshness_limit_ms, 500, 3_000)?;
         validate_range("heartbeat_ms", self.heartbeat_ms, 20, 1_000)?;
         validate_range("queue_limit", self.queue_limit, 1, 1_000_000)?;
--- a/crates/dogwoodshunt_border/src/http/connection_pool.rs
+++ b/crates/dogwoodshunt_border/src/http/connection_pool.rs
@@ -5,12 +5,15 @@
 //! the run.
 
 use crate::http::body::BodyError;
+use crate::http::limits::LeasedBuffer;
+use crate::http::limits::NoRoom;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -32,6 +35,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Maximum size of the buffer of one connection, in bytes; larger reads do not make a response faster.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// Idle timeout of a connection whose peer sends no `keep-alive` header. Many servers close idle
 /// connections after 5 s.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -255,7 +261,9 @@
         let stream = stream.map_err(|error| not_sent(error.kind().into(), error.to_string()))?;
         // Nagle's algorithm would delay the request.
         let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let handshake = builder.handshake(FuturesIo::new(stream)).await;
         let (sender, connection) =
             handshake.map_err(|error| not_sent(NotSentCause::Closed, error.to_string()))?;
         let connection_task = async move {
@@ -350,15 +358,41 @@
     ///
     /// Fails if the body ends early or exceeds the limit.
     pub async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, BodyError> {
-        let mut body = bytes::BytesMut::new();
+        let buffer = LeasedBuffer::unlimited();
+        self.read_to_end_into(buffer, limit).await
+    }
+
+    /// As [`Exchange::read_to_end`], with the bytes leased by `buffer` before they are read.
+    ///
+    /// # Errors
+    ///
+    /// As [`Exchange::read_to_end`], and if the bytes do not fit into the budget.
+    pub async fn read_to_end_into(
+        &mut self,
+        mut buffer: LeasedBuffer,
+        limit: usize,
+    ) -> Result<Bytes, BodyError> {
+        let too_large = |peer| BodyError {
+            reason: format!("{peer}: response body exceeds {limit} bytes").into(),
+        };
+        let no_room = |_: NoRoom| BodyError {
+            reason: "there is no room for the response body".into(),
+        };
+        if let Some(announced) = self.body.size_hint().exact() {
+            let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+            if announced > limit {
+                return Err(too_large(self.peer));
+            }
+            buffer.reserve(announced).await.map_err(no_room)?;
+        }
         while let Some(chunk) = self.next_chunk().await {
-            body.extend_from_slice(&chunk?);
-            if body.len() > limit {
-                let reason = format!("{}: response body exceeds {limit} bytes", self.peer).into();
-                return Err(BodyError { reason });
+            let chunk = chunk?;
+            if buffer.len() + chunk.len() > limit {
+                return Err(too_large(self.peer));
             }
+            buffer.append(&chunk, limit).await.map_err(no_room)?;
         }
-        Ok(body.freeze())
+        Ok(buffer.freeze())
     }
 
     fn return_to_pool(&mut self) {
--- a/crates/dogwoodshunt_border/src/http/mod.rs
+++ b/crates/dogwoodshunt_border/src/http/mod.rs
@@ -3,11 +3,15 @@
 //! [`client`] sends short calls to other services, [`connection_pool`] sends requests
 //! to upstreams over pooled connections and streams their responses, [`server`]
 //! serves callers, and [`body`] defines the bodies of requests and responses for all of
-//! them.
+//! them. [`limits`] holds the budget of the process that servers share, and [`request_body`]
+//! receives bodies of requests within it.
 
 pub mod body;
 pub mod client;
+mod connection_io;
 pub mod connection_pool;
+pub mod limits;
+pub mod request_body;
 pub mod server;
 pub mod sse;
 pub mod stream_end;
--- a/crates/dogwoodshunt_engine_agent/src/agent.rs
+++ b/crates/dogwoodshunt_engine_agent/src/agent.rs
@@ -11,7 +11,10 @@
 
 use async_channel::Sender;
 use dogwoodshunt_border::http::server;
+use dogwoodshunt_border::http::server::Endpoint;
 use dogwoodshunt_border::kv::Kv;
+use dogwoodshunt_limits::Listener;
+use dogwoodshunt_runtime::limits;
 use dogwoodshunt_runtime::link;
 use dogwoodshunt_runtime::link::Credentials;
 use dogwoodshunt_runtime::listen::ListenError;
@@ -26,17 +29,12 @@
 use slog::Logger;
 use slog::info;
 use slog::warn;
-use smol::Timer;
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-/// Time between a failure of `accept` and the next call. If the process has run out
-/// of file descriptors, `accept` fails until connections close.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
-
 /// Capacity of the event channel of the control thread, in events.
 const EVENT_QUEUE_CAPACITY: usize = 4096;
 
@@ -92,10 +90,11 @@
             "boot" => format!("{:016x}", self.identity.boot));
         let mut registry = metrics::registry();
         let metrics = Metrics::new(&mut registry);
+        let client_limits = limits::process_limits(&self.settings.limits, &mut registry, &log);
         let metrics_handler = Arc::new(MetricsHandler::new(registry, log.clone()));
         let (metrics_server_guard, metrics_server_stop) = async_channel::bounded::<()>(1);
         let metrics_server = server::serve(
-            self.metrics_listener,
+            Endpoint::limited(self.metrics_listener, &client_limits, Listener::Metrics),
             traffic.clone(),
             metrics_server_stop,
             metrics_handler,
@@ -147,7 +146,8 @@
             identity: self.identity,
             key: SharedKey::new(&self.settings.shared_key),
         });
-        let accept = accept_entries(self.listener, credentials, traffic.clone(), events_tx, log);
+        let endpoint = Endpoint::limited(self.listener, &client_limits, Listener::Links);
+        let accept = accept_entries(endpoint, credentials, traffic.clone(), events_tx, log);
         let accept_task = traffic.spawn(accept);
         control.run(events_rx).await;
         accept_task.cancel().await;
@@ -156,25 +156,20 @@
 }
 
 async fn accept_entries(
-    listener: TcpListener,
+    endpoint: Endpoint,
     credentials: Arc<Credentials>,
     traffic: dogwoodshunt_runtime::traffic::TrafficExecutor,
     events_tx: Sender<Event>,
     log: Logger,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(log, "accept failed"; "error" => %error);
-                Timer::after(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
+        let Some((stream, account)) = endpoint.accept().await else {
+            continue;
         };
         let (credentials, events_tx) = (credentials.clone(), events_tx.clone());
         let (handshake_traffic, log) = (traffic.clone(), log.clone());
         let perform_handshake = async move {
-            match link::accept(stream, &credentials, &handshake_traffic, &log).await {
+            match link::accept(stream, account, &credentials, &handshake_traffic, &log).await {
                 Ok(link) => {
                     let _ = events_tx.send(Event::EntryConnected(link)).await;
                 }
--- a/crates/dogwoodshunt_engine_agent/src/settings.rs
+++ b/crates/dogwoodshunt_engine_agent/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the agent, and the scheduler settings derived from them.
 
 use dogwoodshunt_residency::SchedulerSettings;
+use dogwoodshunt_runtime::limits::LimitSettings;
 use dogwoodshunt_runtime::program::ProgramSettings;
 use dogwoodshunt_runtime::settings::InvalidSetting;
 use dogwoodshunt_runtime::settings::NodeSettings;
@@ -35,6 +36,9 @@
     /// the engine needs to prefill the backlog.
     #[serde(default = "default_read_ahead_ms")]
     pub read_ahead_ms: u64,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Settings of logs and metrics.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -79,6 +83,7 @@
     fn validate(&self) -> Result<(), InvalidSetting> {
         self.node.validate()?;
         validate_shared_key(&self.shared_key)?;
+        self.limits.validate()?;
         validate_range("heartbeat_ms", self.heartbeat_ms, 50, 5_000)?;
         validate_range("read_ahead_ms", self.read_ahead_ms, 10, 10_000)
     }
--- a/crates/dogwoodshunt_entry/src/api/executor.rs
+++ b/crates/dogwoodshunt_entry/src/api/executor.rs
@@ -17,10 +17,11 @@
 use crate::control::RoutingError;
 use async_channel::Sender;
 use bytes::Bytes;
-use bytes::BytesMut;
 use dogwoodshunt_border::http::ResponseBody;
 use dogwoodshunt_border::http::body;
 use dogwoodshunt_border::http::body::BodyError;
+use dogwoodshunt_border::http::limits::LeasedBuffer;
+use dogwoodshunt_border::http::limits::ProcessLimits;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::attempt::Attempt;
@@ -38,6 +39,7 @@
 use hyper::Response;
 use slog::Logger;
 use smol::Timer;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -59,6 +61,8 @@
     pub traffic: TrafficExecutor,
     /// Maximum number of attempts of one request.
     pub max_attempts: u32,
+    /// Budget of the process, from which buffered responses are taken.
+    pub client_limits: Arc<ProcessLimits>,
     /// Logger of this process.
     pub log: Logger,
 }
@@ -274,7 +278,8 @@
                 body,
             });
         }
-        let body = read_body(attempt, &mut in_flight).await?;
+        let buffer = self.client_limits.buffer(None);
+        let body = read_body(attempt, &mut in_flight, buffer).await?;
         Ok(CallerResponse::Buffered {
             head,
             request_id,
@@ -349,20 +354,24 @@
 async fn read_body(
     attempt: Attempt<Sent>,
     in_flight: &mut InFlightAttempt,
+    mut buffer: LeasedBuffer,
 ) -> Result<Bytes, FailedAttempt> {
     let agent = attempt.agent;
     let mut sequencer = ChunkSequencer::default();
-    let mut buffer = BytesMut::new();
     let message = loop {
-        match sequencer.on_event(in_flight.next_event().await) {
-            BodyEvent::Bytes(data) => buffer.extend_from_slice(&data),
+        let data = match sequencer.on_event(in_flight.next_event().await) {
+            BodyEvent::Bytes(data) => data,
             BodyEvent::Ignored => continue,
             BodyEvent::End => return Ok(buffer.freeze()),
             BodyEvent::Failed(message) => break message,
-        }
-        if buffer.len() > MAX_BUFFERED_RESPONSE_BYTES {
+        };
+        if buffer.len() + data.len() > MAX_BUFFERED_RESPONSE_BYTES {
             break "the answer is over the limit".into();
         }
+        let appended = buffer.append(&data, MAX_BUFFERED_RESPONSE_BYTES).await;
+        if appended.is_err() {
+            break "there is no room for the answer".into();
+        }
         in_flight.ack(sequencer.next_number());
     };
     Err(FailedAttempt {
--- a/crates/dogwoodshunt_entry/src/api/request.rs
+++ b/crates/dogwoodshunt_entry/src/api/request.rs
@@ -4,8 +4,9 @@
 use crate::api::response::RequestError;
 use crate::control::RequestTarget;
 use bytes::Bytes;
-use dogwoodshunt_border::http::body;
-use dogwoodshunt_border::http::body::ReadError;
+use dogwoodshunt_border::http::limits::ConnectionAccount;
+use dogwoodshunt_border::http::request_body;
+use dogwoodshunt_border::http::request_body::RequestBodyError;
 use dogwoodshunt_routing::retry::Repeatable;
 use dogwoodshunt_types::Priority;
 use dogwoodshunt_types::adapter::is_valid_name;
@@ -15,6 +16,7 @@
 use serde_json::Map;
 use serde_json::Value;
 use std::str::FromStr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -255,13 +257,16 @@
 }
 
 async fn read_body(req: Request<Incoming>, limits: &RequestLimits) -> Result<Bytes, RequestError> {
-    let (body, limit) = (req.into_body(), limits.max_body_bytes);
-    let Some(read) = body::read_with_timeout(body, limit, limits.body_timeout).await else {
-        return Err(RequestError::body_timed_out(limits.body_timeout));
-    };
-    read.map_err(|error| match error {
-        ReadError::ConnectionLost { .. } => RequestError::invalid_field("body", &error.to_string()),
-        ReadError::TooLarge { .. } => RequestError::too_large(&error.to_string()),
+    let account = req.extensions().get::<Arc<ConnectionAccount>>().cloned();
+    let (limit, timeout) = (limits.max_body_bytes, limits.body_timeout);
+    let received = request_body::receive(req.into_body(), account.as_ref(), limit, timeout).await;
+    received.map_err(|error| match error {
+        RequestBodyError::ConnectionLost { .. } => {
+            RequestError::invalid_field("body", &error.to_string())
+        }
+        RequestBodyError::NoRoom => RequestError::no_room(&error.to_string()),
+        RequestBodyError::TimedOut { timeout } => RequestError::body_timed_out(timeout),
+        RequestBodyError::TooLarge { .. } => RequestError::too_large(&error.to_string()),
     })
 }
 
--- a/crates/dogwoodshunt_entry/src/api/response.rs
+++ b/crates/dogwoodshunt_entry/src/api/response.rs
@@ -32,6 +32,9 @@
 /// idempotency key.
 pub const REPLAYED_HEADER: HeaderName = HeaderName::from_static("x-dogwoodshunt-replayed");
 
+/// Time after which a request that found no room may be sent again.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Error response to a caller's request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RequestError {
@@ -77,6 +80,18 @@
         )
     }
 
+    /// Creates the error for a body for which the process has no room now.
+    pub fn no_room(message: &str) -> Self {
+        Self {
+            retry_after: Some(NO_ROOM_RETRY_AFTER),
+            ..Self::new(
+                StatusCode::SERVICE_UNAVAILABLE,
+                RequestOutcome::NotRun,
+                message,
+            )
+        }
+    }
+
     /// Creates the error for a body that was not received within `timeout`.
     pub fn body_timed_out(timeout: Duration) -> Self {
         let text = format!("the body did not arrive within {timeout:?}");
--- a/crates/dogwoodshunt_entry/src/entry.rs
+++ b/crates/dogwoodshunt_entry/src/entry.rs
@@ -16,15 +16,20 @@
 use crate::watchers::LogWatcherControl;
 use async_channel::Receiver;
 use async_channel::Sender;
+use cadence::CountedExt;
 use dogwoodshunt_border::http::Client;
+use dogwoodshunt_border::http::limits::ProcessLimits;
 use dogwoodshunt_border::http::server;
+use dogwoodshunt_border::http::server::Endpoint;
 use dogwoodshunt_border::kv::Etcd;
 use dogwoodshunt_catalogue::Catalogue;
 use dogwoodshunt_catalogue::Change;
 use dogwoodshunt_catalogue::admission::Rebase;
+use dogwoodshunt_limits::Listener;
 use dogwoodshunt_replica::Replica;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::Router;
+use dogwoodshunt_runtime::limits;
 use dogwoodshunt_runtime::link::Credentials;
 use dogwoodshunt_runtime::listen::ListenError;
 use dogwoodshunt_runtime::listen::listen;
@@ -281,6 +286,12 @@
         stop: Receiver<()>,
     ) -> Result<Receiver<()>, StartError> {
         let metrics = telemetry::statsd_client(&self.settings.telemetry).context(MetricsSnafu)?;
+        let metrics = Arc::new(metrics);
+        let counters = metrics.clone();
+        let observer = limits::logged(&self.log, move |event| {
+            let _ = counters.incr(&format!("client_limits.{}", event.as_str()));
+        });
+        let client_limits = ProcessLimits::new(self.settings.limits.limits(), observer);
         let limits = RequestLimits {
             max_body_bytes: usize::try_from(self.settings.max_body_bytes).unwrap_or(usize::MAX),
             body_timeout: BODY_TIMEOUT,
@@ -290,13 +301,14 @@
             executor: RequestExecutor {
                 events: events.clone(),
                 traffic: self.traffic.clone(),
+                client_limits: client_limits.clone(),
                 max_attempts: u32::try_from(self.settings.routing.max_attempts).unwrap_or(u32::MAX),
                 log: self.log.clone(),
             },
             idempotent_executor: IdempotentExecutor::new(kv, self.identity.boot, self.log.clone()),
             events: events.clone(),
             limits,
-            metrics: Arc::new(metrics),
+            metrics,
             log: self.log.clone(),
         });
         let operator_api = Arc::new(OperatorApi {
@@ -307,13 +319,21 @@
         let (operators_done, servers_done) = async_channel::bounded::<()>(1);
         let callers_done = operators_done.clone();
         let serve_callers = server::serve(
-            self.callers_listener.clone(),
+            Endpoint::limited(
+                self.callers_listener.clone(),
+                &client_limits,
+                Listener::Callers,
+            ),
             self.traffic.clone(),
             stop.clone(),
             caller_api,
         );
         let serve_operators = server::serve(
-            self.operators_listener.clone(),
+            Endpoint::limited(
+                self.operators_listener.clone(),
+                &client_limits,
+                Listener::Operators,
+            ),
             self.traffic.clone(),
             stop.clone(),
             operator_api,
--- a/crates/dogwoodshunt_entry/src/operators/mod.rs
+++ b/crates/dogwoodshunt_entry/src/operators/mod.rs
@@ -10,7 +10,9 @@
 use crate::control::ControlQuery;
 use async_channel::Sender;
 use dogwoodshunt_border::http::ResponseBody;
-use dogwoodshunt_border::http::body;
+use dogwoodshunt_border::http::limits::ConnectionAccount;
+use dogwoodshunt_border::http::request_body;
+use dogwoodshunt_border::http::request_body::RequestBodyError;
 use dogwoodshunt_border::http::server;
 use dogwoodshunt_border::http::server::Handler;
 use dogwoodshunt_border::kv::Kv;
@@ -28,10 +30,15 @@
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use slog::Logger;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum size of an operator's request body, in bytes.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Time limit for receiving an operator's request body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Maximum number of log entries in one response.
 const MAX_LOG_PAGE_ENTRIES: Revision = 500;
 
@@ -169,7 +176,17 @@
 }
 
 async fn read_json<T: DeserializeOwned>(req: Request<Incoming>) -> Result<T, ErrorResponse> {
-    let bytes = body::read(req.into_body(), MAX_BODY_BYTES).await;
-    let bytes = bytes.map_err(|error| ErrorResponse::bad_request(error.to_string()))?;
+    let account = req.extensions().get::<Arc<ConnectionAccount>>().cloned();
+    let account = account.as_ref();
+    let bytes = request_body::receive(req.into_body(), account, MAX_BODY_BYTES, BODY_TIMEOUT);
+    let bytes = bytes.await.map_err(|error| {
+        let status = match error {
+            RequestBodyError::ConnectionLost { .. } => 400,
+            RequestBodyError::NoRoom => 503,
+            RequestBodyError::TimedOut { .. } => 408,
+            RequestBodyError::TooLarge { .. } => 413,
+        };
+        ErrorResponse::new(status, error.to_string())
+    })?;
     serde_json::from_slice(&bytes).map_err(|error| ErrorResponse::bad_request(error.to_string()))
 }
--- a/crates/dogwoodshunt_entry/src/settings.rs
+++ b/crates/dogwoodshunt_entry/src/settings.rs
@@ -2,6 +2,7 @@
 
 use dogwoodshunt_routing::Policy;
 use dogwoodshunt_routing::RouterSettings;
+use dogwoodshunt_runtime::limits::LimitSettings;
 use dogwoodshunt_runtime::program::ProgramSettings;
 use dogwoodshunt_runtime::settings::InvalidSetting;
 use dogwoodshunt_runtime::settings::NodeSettings;
@@ -52,6 +53,9 @@
     /// Number of threads for network traffic.
     #[serde(default = "default_traffic_threads")]
     pub traffic_threads: u64,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Settings for logs and metrics.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -178,6 +182,7 @@
     fn validate(&self) -> Result<(), InvalidSetting> {
         self.node.validate()?;
         validate_shared_key(&self.shared_key)?;
+        self.limits.validate()?;
         validate_range("freshness_limit_ms", self.freshness_limit_ms, 500, 3_000)?;
         validate_range("heartbeat_ms", self.heartbeat_ms, 20, 1_000)?;
         validate_range("max_body_bytes", self.max_body_bytes, 1_024, 7 << 20)?;
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -29,6 +29,7 @@
 use dogwoodshunt_border::http::Exchange;
 use dogwoodshunt_border::http::ResponseBody;
 use dogwoodshunt_border::http::StreamEndCheck;
+use dogwoodshunt_border::http::limits::ProcessLimits;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_runtime::traffic::TrafficExecutor;
 use dogwoodshunt_serving::Route;
@@ -233,6 +234,8 @@
     /// Multiple of the route's latency objective within which the first byte of a
     /// stream must be expected.
     pub useful_objectives: f64,
+    /// Budget of the process, from which buffered responses are taken.
+    pub client_limits: Arc<ProcessLimits>,
     /// Logger for requests.
     pub log: Logger,
 }
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -266,7 +266,9 @@
                 SendOutcome::Foreign("the answer belongs to another request".into())
             }
             ExecutionStatus::Executed => {
-                let body_bytes = match exchange.read_to_end(MAX_BUFFERED_BODY_BYTES).await {
+                let buffer = self.client_limits.buffer(None);
+                let body_bytes = exchange.read_to_end_into(buffer, MAX_BUFFERED_BODY_BYTES);
+                let body_bytes = match body_bytes.await {
                     Ok(body_bytes) => body_bytes,
                     Err(error) => return SendOutcome::BrokenOff(error.to_string().into()),
                 };
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -17,9 +17,12 @@
 use async_channel::Sender;
 use dogwoodshunt_border::http::ResponseBody;
 use dogwoodshunt_border::http::server;
+use dogwoodshunt_border::http::server::Endpoint;
 use dogwoodshunt_border::http::server::Handler;
 use dogwoodshunt_border::kv::WatchKv;
+use dogwoodshunt_limits::Listener;
 use dogwoodshunt_routing::Router;
+use dogwoodshunt_runtime::limits;
 use dogwoodshunt_runtime::link::Credentials;
 use dogwoodshunt_runtime::listen::ListenError;
 use dogwoodshunt_runtime::listen::listen;
@@ -127,6 +130,7 @@
             "boot" => format!("{:016x}", identity.boot));
         let mut registry = metrics::registry();
         let entry_metrics = Metrics::new(&mut registry);
+        let client_limits = limits::process_limits(&settings.limits, &mut registry, &log);
         let metrics_handler = Arc::new(MetricsHandler::new(registry, log.clone()));
         let (events, event_rx) = async_channel::unbounded();
         let shared_state = Arc::new(SharedState::default());
@@ -170,6 +174,7 @@
             placement_ids: Arc::default(),
             metrics: entry_metrics.clone(),
             useful_objectives: settings.placing.useful_objectives,
+            client_limits: client_limits.clone(),
             log: log.clone(),
         };
         // Nothing is sent on the next two channels. Dropping `stop_listeners` makes
@@ -180,14 +185,14 @@
             shared_state: shared_state.clone(),
         });
         let serve_readiness = server::serve(
-            self.readiness_listener,
+            Endpoint::limited(self.readiness_listener, &client_limits, Listener::Readiness),
             traffic.clone(),
             listeners_stopped.clone(),
             readiness_handler,
         );
         traffic.spawn(serve_readiness).detach();
         let serve_metrics = server::serve(
-            self.metrics_listener,
+            Endpoint::limited(self.metrics_listener, &client_limits, Listener::Metrics),
             traffic.clone(),
             listeners_stopped.clone(),
             metrics_handler,
@@ -196,7 +201,7 @@
         let (connections_open, connections_drained) = async_channel::bounded::<()>(1);
         let handler = Arc::new(create_handler(call_handler));
         let serve_callers = server::serve(
-            self.callers_listener,
+            Endpoint::limited(self.callers_listener, &client_limits, Listener::Callers),
             traffic.clone(),
             listeners_stopped.clone(),
             handler,
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an entry, with their defaults and valid ranges.
 
 use dogwoodshunt_routing::RouterSettings;
+use dogwoodshunt_runtime::limits::LimitSettings;
 use dogwoodshunt_runtime::program::ProgramSettings;
 use dogwoodshunt_runtime::settings::InvalidSetting;
 use dogwoodshunt_runtime::settings::NodeSettings;
@@ -45,6 +46,9 @@
     /// Interval between heartbeats to agents, in milliseconds.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
     /// Settings of logs and metrics.
     #[serde(default)]
     pub telemetry: TelemetrySettings,
@@ -215,6 +219,7 @@
         if self.retries.slack.is_nan() || self.retries.slack < 0.0 {
             return Err(InvalidSetting::new("retries.slack", "must not be below 0"));
         }
+        self.limits.validate()?;
         let limits = &self.change_limits;
         validate_range("change_limits.config_ms", limits.config_ms, 100, 60_000)?;
         validate_range(
--- a/crates/dogwoodshunt_runtime/src/lib.rs
+++ b/crates/dogwoodshunt_runtime/src/lib.rs
@@ -9,9 +9,10 @@
 //! the settings file, [`reload`] to follow changes of the file, [`telemetry`] for
 //! logs, [`traffic`] for the threads that carry traffic and [`shutdown`] for
 //! termination signals. The processes themselves use [`listen`] to bind addresses,
-//! [`link`] to exchange frames, [`ownership`] to take over upstreams, [`metrics`]
+//! [`link`] to exchange frames, [`limits`] to bound what clients cost, [`ownership`] to take over upstreams, [`metrics`]
 //! to expose metrics and [`nondeterminism`] for random numbers and the wall clock.
 
+pub mod limits;
 pub mod link;
 pub mod listen;
 pub mod metrics;
--- a/crates/dogwoodshunt_runtime/src/link.rs
+++ b/crates/dogwoodshunt_runtime/src/link.rs
@@ -3,6 +3,7 @@
 use crate::nondeterminism::generate_nonce;
 use crate::traffic::TrafficExecutor;
 use bytes::Bytes;
+use dogwoodshunt_border::http::limits::ConnectionAccount;
 use dogwoodshunt_wire::Frame;
 use dogwoodshunt_wire::codec;
 use dogwoodshunt_wire::codec::CodecError;
@@ -21,6 +22,7 @@
 use slog::Logger;
 use slog::warn;
 use smol::Timer;
+use smol::future;
 use smol::future::FutureExt;
 use smol::net::TcpStream;
 use snafu::ResultExt;
@@ -30,6 +32,7 @@
 use std::time::Duration;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::Role;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_util::compat::Compat;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
@@ -155,16 +158,18 @@
         handshake_with_agent(socket, address, credentials).await
     };
     let (socket, peer) = with_open_timeout(STEP, address, open).await?;
-    Ok(spawn_link(socket, peer, traffic, log.clone()))
+    Ok(spawn_link(socket, peer, None, traffic, log.clone()))
 }
 
-/// Accepts the connection of an entry on `stream`.
+/// Accepts the connection of an entry on `stream`. Until the entry is authenticated, the connection
+/// ends if `account` has to give way to others.
 ///
 /// # Errors
 ///
 /// Fails if the handshake does not complete in time or the entry does not hold the shared key.
 pub async fn accept(
     stream: TcpStream,
+    account: Option<ConnectionAccount>,
     credentials: &Credentials,
     traffic: &TrafficExecutor,
     log: &Logger,
@@ -176,15 +181,32 @@
     };
     let _ = stream.set_nodelay(true);
     let open = async {
-        let config = Some(websocket_config(codec::MAX_FRAME_BYTES));
+        let config = Some(handshake_config());
         let opened = tokio_tungstenite::accept_async_with_config(stream.compat(), config);
         let socket = opened
             .await
             .map_err(|error| connection_lost(STEP, &address, &error))?;
         handshake_with_entry(socket, &address, credentials).await
     };
-    let (socket, peer) = with_open_timeout(STEP, &address, open).await?;
-    Ok(spawn_link(socket, peer, traffic, log.clone()))
+    let evicted = async {
+        match &account {
+            Some(account) => account.evicted().await,
+            None => future::pending().await,
+        }
+        let message = "closed to make room for other connections";
+        Err(connection_lost(STEP, &address, &message))
+    };
+    let opened = with_open_timeout(STEP, &address, open).or(evicted).await;
+    let (socket, peer) = opened?;
+    if let Some(account) = &account {
+        account.on_running();
+    }
+    Ok(spawn_link(socket, peer, account, traffic, log.clone()))
+}
+
+/// Returns the limits of a connection whose peer is not authenticated.
+fn handshake_config() -> WebSocketConfig {
+    websocket_config(MAX_HANDSHAKE_MESSAGE_BYTES).read_buffer_size(MAX_HANDSHAKE_MESSAGE_BYTES)
 }
 
 fn websocket_config(max_bytes: usize) -> WebSocketConfig {
@@ -287,6 +309,10 @@
         }
     );
     let proof = handshake::prove(&credentials.key, Side::Agent, &transcript);
+    // The entry sends nothing between its proof and the welcome, so no bytes of it are lost here.
+    let config = Some(websocket_config(codec::MAX_FRAME_BYTES));
+    let stream = socket.into_inner();
+    let mut socket = WebSocketStream::from_raw_socket(stream, Role::Server, config).await;
     send(STEP, address, &mut socket, &Frame::Welcome { proof }).await?;
     Ok((socket, hello.entry))
 }
@@ -339,7 +365,13 @@
     }
 }
 
-fn spawn_link(socket: Socket, peer: Identity, traffic: &TrafficExecutor, log: Logger) -> Link {
+fn spawn_link(
+    socket: Socket,
+    peer: Identity,
+    account: Option<ConnectionAccount>,
+    traffic: &TrafficExecutor,
+    log: Logger,
+) -> Link {
     let (tx, outgoing) = async_channel::unbounded();
     let (incoming, rx) = async_channel::bounded(RECEIVE_QUEUE_CAPACITY);
     let (sink, stream) = socket.split();
@@ -354,6 +386,7 @@
     let connection_task = async move {
         write.or(read).await;
         outgoing.close();
+        drop(account);
     };
     traffic.spawn(connection_task).detach();
     Link { peer, tx, rx }
