--- a/crates/dogwoodshunt_gateway/src/tests/workspace_keys.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/workspace_keys.rs
@@ -17,6 +17,8 @@
 use async_channel::Receiver;
 use dogwoodshunt_border::http::connection_pool::NotSentCause;
 use dogwoodshunt_border::http::connection_pool::SendError;
+use dogwoodshunt_border::http::limits::ProcessLimits;
+use dogwoodshunt_limits::Limits;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_runtime::metrics;
@@ -155,6 +157,7 @@
             placement_ids: Arc::default(),
             metrics: Metrics::new(&mut metrics::registry()),
             useful_objectives: 1.4,
+            client_limits: ProcessLimits::new(Limits::of_host(64 << 20, 1_000), Box::new(|_| {})),
             log: telemetry::discard_logger(),
         };
         let test = Self {
@@ -206,6 +209,7 @@
             resume_after: None,
             resumes: None,
             key: key.map(KeyDigest::of),
+            stated_tokens: None,
         };
         let control = async {
             let mut selections = 0;
