Pace prompts by the gaps that they make in streams

Cause: a step that prefills a full chunk takes 53 ms and an event takes 5 steps, so prompts in a row delay the events of all streams on the engine. In a transient slowdown the gap exceeds the limit of 500 ms.

Change, enabled by `placing.learned_costs` (default off): the entry sets `paced` in `Admit`; the agent then holds the next prompt while the prompts that have no first event yet, together with it, would make a gap longer than the begun streams tolerate, at the learned speed and slowdown of the engine, and never past the time at which the request would begin too late. `EngineLoad` reports begun streams, the tightest gap and the learned speed; it is encoded as before while no entry paces. The router adds the expected loss of the streams of a candidate to its cost. The new crate `dogwoodshunt_costs` learns the speed from prompts that were alone on an engine. The model has slow engines, slow moments and a wave of the rate.

The tests of residency, routing, wire, gateway and engine agent compile; they have not run yet.

--- /dev/null
+++ b/crates/dogwoodshunt_costs/src/tests.rs
@@ -0,0 +1,3 @@
+//! Tests of the learners.
+
+mod speed;
--- a/crates/dogwoodshunt_engine_agent/src/control/runs.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/runs.rs
@@ -8,6 +8,7 @@
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::job::AnyJob;
 use dogwoodshunt_residency::job::Job;
+use dogwoodshunt_residency::job::Pacing;
 use dogwoodshunt_residency::job::Refusal;
 use dogwoodshunt_residency::job::RunOutcome;
 use dogwoodshunt_types::BootId;
@@ -58,7 +59,10 @@
         let due_at = Some(now + admit.due_in);
         let shared_parts = crashes::shared_part_ids(admit.demand.shared_parts());
         let job = Job::new(request, target, Priority::Normal, now, deadline);
-        let job = job.with_demand(admit.demand, due_at);
+        let pacing = admit.paced.then_some(Pacing {
+            max_event_gap: admit.max_event_gap,
+        });
+        let job = job.with_demand(admit.demand, due_at).with_pacing(pacing);
         let submitted = if admit.started {
             let key = self.engine.key;
             let adopted = key.and_then(|key| self.scheduler.adopt(now, key, job));
--- a/crates/dogwoodshunt_engine_agent/src/tests.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests.rs
@@ -172,6 +172,7 @@
             demand: Demand::default(),
             workspace: None,
             max_event_gap: None,
+            paced: false,
             due_in: Duration::from_secs(1),
             time_left: Duration::from_secs(3),
             started: false,
--- a/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests/crashes.rs
@@ -30,6 +30,7 @@
             },
             workspace: None,
             max_event_gap: None,
+            paced: false,
             due_in: Duration::from_secs(1),
             time_left: Duration::from_secs(3),
             started: false,
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -132,6 +132,9 @@
     /// Multiple of the route's latency objective within which the first byte of
     /// a stream must be expected; otherwise the request is refused at once.
     pub useful_objectives: f64,
+    /// Whether placement and admission use learned costs: speeds of engines, lengths of responses,
+    /// and the gaps that prompts make in streams.
+    pub learned_costs: bool,
 }
 
 impl Default for PlacementSettings {
@@ -145,6 +148,7 @@
             interference_weight: 0.01,
             output_weight: 0.03,
             useful_objectives: 1.4,
+            learned_costs: false,
         }
     }
 }
@@ -184,6 +188,7 @@
             .interference_weight(placing.interference_weight)
             .output_weight(placing.output_weight)
             .load_weight(placing.load_weight)
+            .learned_costs(placing.learned_costs)
             .load_time(ADAPTER_LOAD_TIME)
             .loads_per_second(LOADS_PER_SECOND)
             .seed(boot)
--- a/crates/dogwoodshunt_model/src/host.rs
+++ b/crates/dogwoodshunt_model/src/host.rs
@@ -3,6 +3,7 @@
 use crate::engine::Engine;
 use crate::engine::EngineSpec;
 use crate::engine::SimRequestId;
+use crate::outcome::MAX_EVENT_GAP;
 use bon::Builder;
 use dogwoodshunt_residency::AdmissionCheck;
 use dogwoodshunt_residency::JobKey;
@@ -17,6 +18,9 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::RateLimit;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -69,6 +73,52 @@
     /// When the late engines join, from the start of the simulation.
     #[builder(default = Duration::ZERO)]
     pub late_engines_join_at: Duration,
+    /// Factors by which the steps of the first engines take longer, in their order.
+    #[builder(default)]
+    pub slow_engines: Vec<f64>,
+    /// Transient slowdowns of each engine.
+    pub slow_moments: Option<SlowMoments>,
+    /// Longest gap between two events of a response that counts as on time.
+    #[builder(default = MAX_EVENT_GAP)]
+    pub max_event_gap: Duration,
+}
+
+/// Transient slowdowns of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowMoments {
+    /// Factor by which steps take longer.
+    pub factor: f64,
+    /// Share of the time that the engine is slow.
+    pub share: f64,
+    /// Mean duration of one slowdown.
+    pub mean_duration: Duration,
+}
+
+/// Slow moments of one engine, drawn as the simulated time advances.
+pub(crate) struct SlowMomentClock {
+    moments: SlowMoments,
+    rng: ChaCha8Rng,
+    from: Duration,
+    until: Duration,
+}
+
+impl SlowMomentClock {
+    /// Returns the factor by which a step that begins at `elapsed` takes longer.
+    fn factor(&mut self, elapsed: Duration) -> f64 {
+        while elapsed >= self.until {
+            let quiet = self.moments.mean_duration.as_secs_f64()
+                * (1.0 / self.moments.share - 1.0)
+                * self.rng.random_range(0.2..1.8);
+            let slow = self.moments.mean_duration.as_secs_f64() * self.rng.random_range(0.4..1.6);
+            self.from = self.until + Duration::from_secs_f64(quiet);
+            self.until = self.from + Duration::from_secs_f64(slow);
+        }
+        if elapsed >= self.from {
+            self.moments.factor
+        } else {
+            1.0
+        }
+    }
 }
 
 /// Gate that lets every target run.
@@ -93,11 +143,14 @@
     host_cache: VecDeque<AdapterRef>,
     /// Requests by the agent's job for them.
     pub(crate) requests_by_job: HashMap<JobKey, SimRequestId>,
+    /// Factor by which all steps take longer.
+    pub(crate) speed_factor: f64,
+    slow_moments: Option<SlowMomentClock>,
 }
 
 impl Host {
     /// Creates a host with an idle engine that holds no adapter.
-    pub(crate) fn new(now: Instant, config: &FleetConfig) -> Self {
+    pub(crate) fn new(now: Instant, config: &FleetConfig, index: usize) -> Self {
         let mut scheduler = Scheduler::new(config.scheduler.clone());
         let base_model = BASE_MODEL.into();
         let upstream = scheduler.add_upstream("engine".into(), UpstreamKind::Engine { base_model });
@@ -122,9 +175,22 @@
             step_in_progress: false,
             host_cache: VecDeque::new(),
             requests_by_job: HashMap::new(),
+            speed_factor: config.slow_engines.get(index).copied().unwrap_or(1.0),
+            slow_moments: config.slow_moments.map(|moments| SlowMomentClock {
+                moments,
+                rng: ChaCha8Rng::seed_from_u64(index as u64),
+                from: Duration::ZERO,
+                until: Duration::ZERO,
+            }),
         }
     }
 
+    /// Returns the factor by which a step that begins at `elapsed` takes longer.
+    pub(crate) fn step_factor(&mut self, elapsed: Duration) -> f64 {
+        let transient = self.slow_moments.as_mut();
+        self.speed_factor * transient.map_or(1.0, |clock| clock.factor(elapsed))
+    }
+
     /// Adds an adapter that the engine has unloaded to the host cache, and
     /// evicts the oldest one if the cache is over capacity.
     pub(crate) fn insert_into_cache(&mut self, adapter: AdapterRef) {
--- a/crates/dogwoodshunt_model/src/simulation.rs
+++ b/crates/dogwoodshunt_model/src/simulation.rs
@@ -25,6 +25,7 @@
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
 use dogwoodshunt_residency::job::Job;
+use dogwoodshunt_residency::job::Pacing;
 use dogwoodshunt_residency::orders::OrderOutcome;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::RouteRequest;
@@ -49,7 +50,8 @@
 /// Interval between two reports of an agent.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Interval at which an agent with a rate limit looks whether it allows a dispatch.
+/// Interval at which an agent with a rate limit, or one that paces prompts, looks whether a
+/// dispatch is due.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Time by which each tick advances the weight store.
@@ -102,7 +104,7 @@
         let start = Instant::now();
         let weight_store = WeightStore::new(config.store_full_speed_loads);
         let hosts = (0..config.engines)
-            .map(|_| Host::new(start, &config))
+            .map(|index| Host::new(start, &config, index))
             .collect();
         let routers = (0..config.entries).map(|_| {
             let mut router = Router::new(config.routing.clone());
@@ -166,6 +168,11 @@
             let named_at = self.config.rate_limits_from;
             self.schedule_at(named_at, Event::LimitNamed { host_index });
         }
+        if self.config.routing.learned_costs {
+            for host_index in 0..self.hosts.len() {
+                self.schedule_at(DISPATCH_INTERVAL, Event::DispatchDue { host_index });
+            }
+        }
         self.schedule_at(WEIGHT_STORE_TICK, Event::WeightStoreTick);
         while !self.in_flight.is_empty() {
             let Some(Reverse((event_time, number))) = self.queue.pop() else {
@@ -301,7 +308,10 @@
             self.start + in_flight.request.arrival + first_byte_limit(class, &self.config);
         let target = target_of(&in_flight.request);
         let job = Job::new(request, target, Priority::Normal, now, Some(deadline))
-            .with_demand(in_flight.request.demand.clone(), Some(due));
+            .with_demand(in_flight.request.demand.clone(), Some(due))
+            .with_pacing(self.config.routing.learned_costs.then_some(Pacing {
+                max_event_gap: Some(self.config.max_event_gap),
+            }));
         let host = &mut self.hosts[host_index];
         match host.scheduler.submit(now, job, &AllowAll) {
             Ok(job) => {
--- a/crates/dogwoodshunt_model/src/simulation/execution.rs
+++ b/crates/dogwoodshunt_model/src/simulation/execution.rs
@@ -4,7 +4,6 @@
 use crate::engine::Progress;
 use crate::engine::SimRequestId;
 use crate::outcome::ClassCounts;
-use crate::outcome::MAX_EVENT_GAP;
 use crate::simulation::LINK_LATENCY;
 use crate::simulation::Simulation;
 use crate::simulation::event::Event;
@@ -36,6 +35,7 @@
         let host = &mut self.hosts[host_index];
         match host.engine.begin_step() {
             Some(duration) => {
+                let duration = duration.mul_f64(host.step_factor(self.elapsed));
                 host.step_in_progress = true;
                 self.schedule_after(duration, Event::StepFinished { host_index });
             }
@@ -82,7 +82,7 @@
         let first_event_late = in_flight
             .time_to_first_event
             .is_none_or(|time| time > class.latency_objective);
-        let event_gap_late = in_flight.max_event_gap > MAX_EVENT_GAP;
+        let event_gap_late = in_flight.max_event_gap > self.config.max_event_gap;
         let (class, arrival) = (in_flight.request.class, in_flight.request.arrival);
         let counts = self.counts(class, arrival);
         match (first_event_late, event_gap_late) {
--- a/crates/dogwoodshunt_model/src/tests.rs
+++ b/crates/dogwoodshunt_model/src/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the simulated engines and weight store, and of routing and
 //! admission decisions by their results under a workload.
 
+mod learned_costs;
+
 use crate::FleetConfig;
 use crate::Outcome;
 use crate::Simulation;
--- /dev/null
+++ b/crates/dogwoodshunt_model/src/tests/learned_costs.rs
@@ -0,0 +1,138 @@
+//! Tests of learned costs by what callers get under the calm load of a large customer, at a quarter
+//! of its size and with the same load per engine.
+
+use crate::FleetConfig;
+use crate::Outcome;
+use crate::Simulation;
+use crate::Workload;
+use crate::engine::EngineSpec;
+use crate::host::SlowMoments;
+use dogwoodshunt_residency::SchedulerSettings;
+use dogwoodshunt_routing::RouterSettings;
+use std::time::Duration;
+
+/// Number of engines; the customer has 47.
+const ENGINES: usize = 12;
+
+/// Model requests per second of the customer, on all its engines.
+const CUSTOMER_RATE: f64 = 163.5;
+
+const SLOW_MOMENTS: SlowMoments = SlowMoments {
+    factor: 2.5,
+    share: 0.15,
+    mean_duration: Duration::from_millis(500),
+};
+
+/// Speeds and events of the engines of one case.
+#[derive(Clone, Debug, Default)]
+struct Fleet {
+    slow_engines: Vec<f64>,
+    slow_moments: Option<SlowMoments>,
+}
+
+/// Requests of one kind in all runs of a case.
+#[derive(Clone, Copy, Debug, Default)]
+struct Kind {
+    sent: u64,
+    late: u64,
+    unserved: u64,
+}
+
+/// What the callers of one case got.
+#[derive(Clone, Copy, Debug, Default)]
+struct Result {
+    kinds: [Kind; 2],
+    loads: u64,
+}
+
+fn simulate(fleet: &Fleet, learned_costs: bool, seed: u64) -> Outcome {
+    let routing = RouterSettings::builder()
+        .home_step(Duration::from_millis(100))
+        .host_cache_capacity(40)
+        .loads_per_second(32.0)
+        .load_weight(5.0)
+        .interference_weight(0.01)
+        .output_weight(0.03)
+        .batch_weight(0.0)
+        .homes(6)
+        .random_candidates(2)
+        .learned_costs(learned_costs)
+        .build();
+    let scheduler = SchedulerSettings::builder()
+        .fallback_loads_per_second(1_000.0)
+        .fallback_load_burst(4.0)
+        .granter_timeout(Duration::ZERO)
+        .popularity_half_life(Duration::from_secs(10))
+        .build();
+    let engine = EngineSpec::builder()
+        .step_base_ms(5.47)
+        .prefill_tokens_per_ms(38.7)
+        .tokens_per_event(5)
+        .kv_capacity_tokens(232_000)
+        .adapter_slots(7)
+        .build();
+    let config = FleetConfig::builder()
+        .entries(6)
+        .engines(ENGINES)
+        .engine(engine)
+        .routing(routing)
+        .scheduler(scheduler)
+        .useful_objectives(1.4)
+        .max_event_gap(Duration::from_millis(500))
+        .count_from(Duration::from_secs(15))
+        .slow_engines(fleet.slow_engines.clone())
+        .maybe_slow_moments(fleet.slow_moments)
+        .build();
+    let workload = Workload::builder()
+        .rate(CUSTOMER_RATE * ENGINES as f64 / 47.0)
+        .wave(0.55)
+        .adapters(150)
+        .duration(Duration::from_secs(75))
+        .seed(seed)
+        .build();
+    Simulation::new(config).run(&workload)
+}
+
+fn results(fleet: &Fleet, learned_costs: bool) -> Result {
+    let mut result = Result::default();
+    for seed in 1..=4 {
+        let outcome = simulate(fleet, learned_costs, seed);
+        result.loads += outcome.store_loads;
+        for (kind, counts) in result.kinds.iter_mut().zip(&outcome.classes) {
+            kind.sent += counts.sent;
+            kind.late += counts.first_event_late + counts.event_gap_late;
+            kind.unserved += counts.refused + counts.failed;
+        }
+        println!("learned {learned_costs} seed {seed}: {:?}", outcome.classes);
+    }
+    println!("learned {learned_costs}: {result:?}");
+    result
+}
+
+fn customer_fleet() -> Fleet {
+    Fleet {
+        slow_engines: vec![1.3; ENGINES / 3],
+        slow_moments: Some(SLOW_MOMENTS),
+    }
+}
+
+/// Guards against prompts that make gaps too long in the streams of other requests while engines
+/// are slow for a moment.
+#[test]
+fn fewer_streams_are_late_under_the_calm_load() {
+    let off = results(&customer_fleet(), false);
+    let on = results(&customer_fleet(), true);
+    let [long_prompts, long_streams] = [0, 1].map(|kind| (off.kinds[kind], on.kinds[kind]));
+    for (off, on) in [long_prompts, long_streams] {
+        assert!(
+            on.late + on.unserved <= off.late + off.unserved,
+            "{on:?} instead of {off:?}"
+        );
+    }
+    let (off_streams, on_streams) = long_streams;
+    assert!(
+        on_streams.late * 10 <= off_streams.late * 8,
+        "{on_streams:?} instead of {off_streams:?}"
+    );
+    assert!(on.loads * 10 <= off.loads * 11, "{on:?} instead of {off:?}");
+}
--- a/crates/dogwoodshunt_model/src/workload.rs
+++ b/crates/dogwoodshunt_model/src/workload.rs
@@ -104,6 +104,9 @@
     /// Time between two changes of the most popular adapters.
     #[builder(default = Duration::from_secs(10))]
     pub popularity_shift_interval: Duration,
+    /// Amplitude of a wave of the rate, as a share of its mean, with a period of [`WAVE_PERIOD`].
+    #[builder(default = 0.0)]
+    pub wave: f64,
     /// Seed of the random number generator.
     #[builder(default = 1)]
     pub seed: u64,
@@ -128,6 +131,9 @@
 /// the most popular adapters move to the end.
 const POPULARITY_SHIFT_RANKS: usize = 3;
 
+/// Period of the wave of the arrival rate.
+pub const WAVE_PERIOD: Duration = Duration::from_secs(15);
+
 impl Workload {
     /// Generates all requests, in the order of arrival.
     ///
@@ -145,7 +151,10 @@
         let (mut arrival, mut last_shift) = (Duration::ZERO, Duration::ZERO);
         let mut requests = Vec::new();
         loop {
-            arrival += Duration::from_secs_f64(interarrival_s.sample(&mut rng));
+            let phase = arrival.as_secs_f64() / WAVE_PERIOD.as_secs_f64() * std::f64::consts::TAU;
+            let relative_rate = 1.0 + self.wave * phase.sin();
+            let interarrival = interarrival_s.sample(&mut rng) / relative_rate;
+            arrival += Duration::from_secs_f64(interarrival);
             if arrival >= self.duration {
                 return requests;
             }
--- a/crates/dogwoodshunt_residency/src/job.rs
+++ b/crates/dogwoodshunt_residency/src/job.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::fmt;
+use std::time::Duration;
 use std::time::Instant;
 
 slotmap::new_key_type! {
@@ -78,6 +79,16 @@
     pub dispatched_at: Instant,
     /// Prompt tokens that the upstream has not yet processed.
     pub pending_prefill: u64,
+    /// Whether the first byte of the response has arrived.
+    pub is_begun: bool,
+}
+
+/// Gap limits of a job whose entry paces prompts by the gaps that they make in streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pacing {
+    /// Longest gap between two events of the response that counts as on time; `None` if the
+    /// response is not a stream.
+    pub max_event_gap: Option<Duration>,
 }
 
 /// A submitted request in state `S`.
@@ -105,6 +116,8 @@
     /// the job is dispatched after jobs of the same priority that can still meet
     /// their objective.
     pub slo_deadline: Option<Instant>,
+    /// Gap limits by which the job is paced; `None` if its entry does not pace prompts.
+    pub pacing: Option<Pacing>,
     state: S,
 }
 
@@ -141,6 +154,7 @@
             failed_dispatches: 0,
             demand: Demand::default(),
             slo_deadline: None,
+            pacing: None,
             state: Queued,
         }
     }
@@ -154,6 +168,13 @@
         self
     }
 
+    /// Sets the gap limits by which the job is paced.
+    #[must_use]
+    pub fn with_pacing(mut self, pacing: Option<Pacing>) -> Self {
+        self.pacing = pacing;
+        self
+    }
+
     /// Marks the job as running on `upstream`, which has `pending_prefill` tokens of the
     /// prompt to process.
     pub fn dispatch(
@@ -168,6 +189,7 @@
             boot,
             dispatched_at: now,
             pending_prefill,
+            is_begun: false,
         })
     }
 
@@ -201,8 +223,15 @@
         self.state.pending_prefill
     }
 
+    /// Returns the gap limit of the response if it is a stream that has begun.
+    pub fn begun_stream_gap(&self) -> Option<Duration> {
+        let pacing = self.pacing.filter(|_| self.state.is_begun);
+        pacing.and_then(|pacing| pacing.max_event_gap)
+    }
+
     /// Marks the whole prompt as processed and returns the tokens that were pending.
     pub fn finish_prefill(&mut self) -> u64 {
+        self.state.is_begun = true;
         std::mem::take(&mut self.state.pending_prefill)
     }
 
@@ -224,6 +253,7 @@
             failed_dispatches: self.failed_dispatches,
             demand: self.demand,
             slo_deadline: self.slo_deadline,
+            pacing: self.pacing,
             state,
         }
     }
--- a/crates/dogwoodshunt_residency/src/lib.rs
+++ b/crates/dogwoodshunt_residency/src/lib.rs
@@ -21,7 +21,7 @@
 //! The crate does no I/O, reads no clock and takes no lock.
 //!
 //! Read [`job`], [`demand`] and [`upstream`] for the state, [`scheduler`] and
-//! [`orders`] for the events, then [`plan`] and `loads` for the decisions, and
+//! [`orders`] for the events, then [`plan`], [`prefill_pacing`] and `loads` for the decisions, and
 //! [`report`] with `reporting` for the load reports to entries. [`load_budget`], [`load_window`],
 //! [`popularity`], [`prefill_rate`] and [`prefix_index`] hold the estimates and
 //! limits that the decisions use.
@@ -35,6 +35,7 @@
 pub mod orders;
 pub mod plan;
 pub mod popularity;
+pub mod prefill_pacing;
 pub mod prefill_rate;
 pub mod prefix_index;
 pub mod report;
--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -73,7 +73,7 @@
     }
 
     /// Returns the expected time from the dispatch of a job to its first byte, with a margin.
-    fn first_byte_time(&self, job: &Job<Queued>) -> Duration {
+    pub(crate) fn first_byte_time(&self, job: &Job<Queued>) -> Duration {
         let uncached = self.uncached_tokens(&job.target, &job.demand) as f64;
         let prefill_ms = uncached / self.tokens.prefill_rate.tokens_per_ms().max(1.0);
         FIRST_BYTE_MARGIN + Duration::from_secs_f64(prefill_ms / 1e3)
@@ -81,9 +81,8 @@
 
     fn start_prefill(&mut self, now: Instant, target: &Target, demand: &Demand) -> u64 {
         let uncached = self.uncached_tokens(target, demand);
-        self.tokens.pending_prefill += uncached;
+        self.tokens.start_prefill(now, uncached);
         self.tokens.reserved_kv += demand.max_kv_tokens();
-        self.tokens.prefill_rate.on_prefill_start(now);
         let adapter = target.to_string();
         self.tokens.prefixes.record(&adapter, &demand.parts);
         uncached
@@ -126,7 +125,8 @@
 
     /// Dispatches queued jobs in scheduling order.
     ///
-    /// Once a job does not fit into an upstream's token capacity, no later job is
+    /// Once a job does not fit into an upstream's token capacity or must wait for events of the
+    /// streams there, no later job is
     /// dispatched to that upstream in this step. Otherwise small requests would
     /// starve large ones on a busy upstream.
     fn dispatch_queued(
@@ -143,7 +143,9 @@
             let Some(upstream) = self.least_busy_upstream(now, &job.target, &saturated) else {
                 continue;
             };
-            if !self.has_token_capacity(upstream, job) {
+            if !self.has_token_capacity(upstream, job)
+                || self.must_wait_for_streams(now, upstream, job)
+            {
                 saturated.push(upstream);
                 continue;
             }
--- a/crates/dogwoodshunt_residency/src/report.rs
+++ b/crates/dogwoodshunt_residency/src/report.rs
@@ -30,10 +30,66 @@
     /// Percentage of recent time, about the last second, that the engine spent on
     /// prefill.
     pub prefill_busy_percent: u8,
+    /// Learned speed and begun streams; `None` if no entry has asked the agent to pace prompts.
+    pub learned: Option<LearnedLoad>,
 }
 
-/// Encoded form of [`EngineLoad`]: its fields in their order.
-type EngineLoadFields = (u64, u64, u64, u32, u8);
+/// Learned speed of an engine and the streams on it. Its fields are integers in coarse steps, so
+/// that reports do not change at every moment.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(from = "LearnedLoadFields", into = "LearnedLoadFields")]
+pub struct LearnedLoad {
+    /// Number of streams with a gap limit that have begun.
+    pub streams: u32,
+    /// Shortest of their gap limits; zero if there are none.
+    pub tightest_gap: Duration,
+    /// Persistent time per prompt token, in nanoseconds; 0 if it is not known.
+    pub ns_per_token: u32,
+    /// Transient slowdown to allow for, in percent.
+    pub margin_percent: u16,
+    /// Transient slowdown now, in percent; 100 if there is none.
+    pub slowdown_percent: u16,
+}
+
+/// Encoded form of [`LearnedLoad`]: its fields in their order, with the gap in milliseconds.
+type LearnedLoadFields = (u32, u32, u32, u16, u16);
+
+impl From<LearnedLoadFields> for LearnedLoad {
+    fn from(fields: LearnedLoadFields) -> Self {
+        let (streams, gap_ms, ns_per_token, margin_percent, slowdown_percent) = fields;
+        Self {
+            streams,
+            tightest_gap: Duration::from_millis(gap_ms.into()),
+            ns_per_token,
+            margin_percent,
+            slowdown_percent,
+        }
+    }
+}
+
+impl From<LearnedLoad> for LearnedLoadFields {
+    fn from(load: LearnedLoad) -> Self {
+        (
+            load.streams,
+            u32::try_from(load.tightest_gap.as_millis()).unwrap_or(u32::MAX),
+            load.ns_per_token,
+            load.margin_percent,
+            load.slowdown_percent,
+        )
+    }
+}
+
+/// Encoded form of [`EngineLoad`]: its fields in their order. An agent without learned costs sends
+/// the first five only, as releases without them do.
+#[derive(Deserialize, Serialize)]
+struct EngineLoadFields(
+    u64,
+    u64,
+    u64,
+    u32,
+    u8,
+    #[serde(default, skip_serializing_if = "Option::is_none")] Option<LearnedLoad>,
+);
 
 impl From<EngineLoadFields> for EngineLoad {
     fn from(fields: EngineLoadFields) -> Self {
@@ -43,18 +99,20 @@
             prefill_tokens_per_second: fields.2,
             free_slots: fields.3,
             prefill_busy_percent: fields.4,
+            learned: fields.5,
         }
     }
 }
 
 impl From<EngineLoad> for EngineLoadFields {
     fn from(load: EngineLoad) -> Self {
-        (
+        Self(
             load.pending_prefill,
             load.reserved_kv,
             load.prefill_tokens_per_second,
             load.free_slots,
             load.prefill_busy_percent,
+            load.learned,
         )
     }
 }
--- a/crates/dogwoodshunt_residency/src/reporting.rs
+++ b/crates/dogwoodshunt_residency/src/reporting.rs
@@ -6,6 +6,7 @@
 use crate::job::AnyJob;
 use crate::job::Target;
 use crate::report::EngineLoad;
+use crate::report::LearnedLoad;
 use crate::report::PendingLoad;
 use crate::report::Report;
 use crate::report::Served;
@@ -28,6 +29,12 @@
 /// Step to which the percentage of time spent on prefill is rounded.
 const BUSY_PERCENT_STEP: f64 = 10.0;
 
+/// Step to which the learned slowdowns are rounded, in percent.
+const SLOWDOWN_PERCENT_STEP: f64 = 25.0;
+
+/// Step to which the learned time per token is rounded, in nanoseconds: 2% of the usual one.
+const NS_PER_TOKEN_STEP: f64 = 500.0;
+
 /// Step to which the prefill rate is rounded down, in tokens per second.
 const RATE_STEP_TOKENS_PER_S: u64 = 1_000;
 
@@ -111,9 +118,27 @@
             prefill_tokens_per_second: per_second / RATE_STEP_TOKENS_PER_S * RATE_STEP_TOKENS_PER_S,
             free_slots: saturating_u32(self.count_free_slots(upstream)),
             prefill_busy_percent: (busy_steps.round() * BUSY_PERCENT_STEP) as u8,
+            learned: self.paces_prompts.then(|| self.learned_load(now, key)),
         })
     }
 
+    fn learned_load(&self, now: Instant, key: UpstreamKey) -> LearnedLoad {
+        let streams = self.begun_streams(key);
+        let speed = self.upstream(key).map(|upstream| &upstream.tokens.speed);
+        let percent = |ratio: f64| {
+            ((ratio * 100.0 / SLOWDOWN_PERCENT_STEP).round() * SLOWDOWN_PERCENT_STEP) as u16
+        };
+        let known = speed.filter(|speed| speed.is_known());
+        let ns_steps = known.map_or(0.0, |s| s.ms_per_token() * 1e6 / NS_PER_TOKEN_STEP);
+        LearnedLoad {
+            streams: streams.count,
+            tightest_gap: streams.tightest_gap,
+            ns_per_token: (ns_steps.round() * NS_PER_TOKEN_STEP) as u32,
+            margin_percent: percent(speed.map_or(1.0, |speed| speed.margin())),
+            slowdown_percent: percent(speed.map_or(1.0, |speed| speed.slowdown(now))),
+        }
+    }
+
     fn count_free_slots(&self, upstream: &Upstream) -> usize {
         let idle = upstream.residents.iter().filter(|(adapter, resident)| {
             let unused = resident.state == ResidentState::Ready && resident.pins == 0;
--- a/crates/dogwoodshunt_residency/src/scheduler.rs
+++ b/crates/dogwoodshunt_residency/src/scheduler.rs
@@ -47,6 +47,8 @@
     pub(crate) popularity: Popularity,
     /// Adapters to load before any request needs them, with their base models.
     pub(crate) preloads: BTreeMap<AdapterRef, Box<str>>,
+    /// Whether an entry has asked to pace prompts by the gaps that they make in streams.
+    pub(crate) paces_prompts: bool,
     leaving: bool,
     mean_run: Duration,
 }
@@ -68,6 +70,7 @@
             budget,
             popularity,
             preloads: BTreeMap::new(),
+            paces_prompts: false,
             leaving: false,
             mean_run: Duration::from_millis(500),
         }
@@ -178,6 +181,7 @@
         if let Some(adapter) = job.target.adapter() {
             self.popularity.record(now, adapter);
         }
+        self.paces_prompts |= job.pacing.is_some();
         let key = self.jobs.insert(AnyJob::Queued(job));
         self.queue.push(key);
         Ok(key)
--- a/crates/dogwoodshunt_residency/src/tests.rs
+++ b/crates/dogwoodshunt_residency/src/tests.rs
@@ -3,5 +3,6 @@
 mod decisions;
 mod engine_limits;
 mod load_window;
+mod prefill_pacing;
 mod rate_limits;
 mod state_machine;
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -4,6 +4,7 @@
 use crate::prefill_rate::PrefillRate;
 use crate::prefix_index::PrefixIndex;
 use crate::settings::SchedulerSettings;
+use dogwoodshunt_costs::EngineSpeed;
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::BootId;
 use dogwoodshunt_types::RateLimit;
@@ -93,6 +94,34 @@
     pub prefixes: PrefixIndex,
     /// Estimated prefill rate of the engine.
     pub prefill_rate: PrefillRate,
+    /// Learned speed of the engine's process.
+    pub speed: EngineSpeed,
+    /// Time of dispatch and uncached tokens of the prompt that the engine processes, if it has had
+    /// no other one since.
+    lone_prompt: Option<(Instant, u64)>,
+}
+
+impl TokenLoad {
+    /// Records the dispatch of a prompt with `uncached` tokens to process.
+    pub(crate) fn start_prefill(&mut self, now: Instant, uncached: u64) {
+        let is_alone = self.pending_prefill == 0 && uncached > 0;
+        self.lone_prompt = is_alone.then_some((now, uncached));
+        self.pending_prefill += uncached;
+        self.prefill_rate.on_prefill_start(now);
+    }
+
+    fn finish_prefill(&mut self, now: Instant, tokens: u64) {
+        if let Some((at, lone_tokens)) = self.lone_prompt
+            && lone_tokens == tokens
+        {
+            let took = now.saturating_duration_since(at);
+            self.speed.record(now, tokens, took);
+            self.lone_prompt = None;
+        }
+        self.pending_prefill = self.pending_prefill.saturating_sub(tokens);
+        self.prefill_rate
+            .on_prefill_end(now, tokens, self.pending_prefill);
+    }
 }
 
 /// Whether an upstream responds to probes.
@@ -210,6 +239,8 @@
                 reserved_kv: 0,
                 prefixes: PrefixIndex::new(0),
                 prefill_rate: PrefillRate::default(),
+                speed: EngineSpeed::default(),
+                lone_prompt: None,
             },
             residents: BTreeMap::new(),
             load_window: LoadWindow::default(),
@@ -342,11 +373,7 @@
 
     /// Records that the engine has processed `tokens` of a prompt.
     pub(crate) fn finish_prefill(&mut self, now: Instant, tokens: u64) {
-        self.tokens.pending_prefill = self.tokens.pending_prefill.saturating_sub(tokens);
-        let remaining = self.tokens.pending_prefill;
-        self.tokens
-            .prefill_rate
-            .on_prefill_end(now, tokens, remaining);
+        self.tokens.finish_prefill(now, tokens);
     }
 
     /// Replaces the resident adapters by those that the upstream lists.
@@ -370,6 +397,8 @@
             self.tokens.pending_prefill = 0;
             self.tokens.reserved_kv = 0;
             self.tokens.prefixes.clear();
+            self.tokens.speed = EngineSpeed::default();
+            self.tokens.lone_prompt = None;
             self.load_window.reset(now, settings.initial_load_limit);
         }
         for adapter in listed {
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -4,6 +4,7 @@
 use crate::agent::Presence;
 use crate::agent::serves;
 use crate::settings::RouterSettings;
+use crate::stream_loss;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
@@ -195,7 +196,16 @@
     let delay_per_token_s =
         f64::from(engine.prefill_busy_percent) / 100.0 * settings.prefill_step.as_secs_f64();
     let output_delay_s = f64::from(demand.output_tokens) * delay_per_token_s;
-    Some(settings.interference_weight * running_delay_s + settings.output_weight * output_delay_s)
+    let learned = engine.learned.filter(|_| settings.learned_costs);
+    let loss_s = learned.map_or(0.0, |learned| {
+        let uncached = agent.uncached_tokens(target, demand);
+        stream_loss::loss_s(&learned, engine.prefill_busy_percent, uncached, demand)
+    });
+    Some(
+        settings.interference_weight * running_delay_s
+            + settings.output_weight * output_delay_s
+            + loss_s,
+    )
 }
 
 /// Returns the cost of sending a request for `target` to `agent`, in seconds of
--- a/crates/dogwoodshunt_routing/src/lib.rs
+++ b/crates/dogwoodshunt_routing/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod retry;
 pub mod router;
 pub mod settings;
+pub mod stream_loss;
 
 #[cfg(test)]
 mod tests;
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -284,6 +284,11 @@
         retry::decide(failure, ctx, &mut self.retry_budget, &mut self.rng)
     }
 
+    /// Returns whether requests are placed by learned costs.
+    pub fn uses_learned_costs(&self) -> bool {
+        self.settings.learned_costs
+    }
+
     /// Returns the maximum number of attempts per request.
     pub fn max_attempts(&self) -> u32 {
         self.settings.max_attempts
--- a/crates/dogwoodshunt_routing/src/settings.rs
+++ b/crates/dogwoodshunt_routing/src/settings.rs
@@ -49,6 +49,10 @@
     /// running request gets one output token per step.
     #[builder(default = Duration::from_millis(60))]
     pub prefill_step: Duration,
+    /// Whether costs are estimated from what was learned of the engines and include the streams
+    /// that become late.
+    #[builder(default = false)]
+    pub learned_costs: bool,
     /// Failure domain of this entry.
     #[builder(default)]
     pub domain: FailureDomain,
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -130,6 +130,7 @@
             prefill_busy_percent: 0,
             prefill_tokens_per_second: 1_000,
             reserved_kv: 0,
+            learned: None,
         });
         report
     };
--- a/crates/dogwoodshunt_wire/src/frame.rs
+++ b/crates/dogwoodshunt_wire/src/frame.rs
@@ -261,6 +261,10 @@
     /// response is not a stream.
     #[serde(default, rename = "g", skip_serializing_if = "Option::is_none")]
     pub max_event_gap: Option<Duration>,
+    /// Whether the entry uses learned costs, so that the agent spaces prompts by the gaps that they
+    /// make in streams.
+    #[serde(default, rename = "k", skip_serializing_if = "is_default")]
+    pub paced: bool,
     /// Time left until the latency target of the first byte.
     #[serde(rename = "u")]
     pub due_in: Duration,
--- a/crates/dogwoodshunt_wire/src/tests/reports.rs
+++ b/crates/dogwoodshunt_wire/src/tests/reports.rs
@@ -5,6 +5,7 @@
 use crate::frame::Heartbeat;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::report::EngineLoad;
+use dogwoodshunt_residency::report::LearnedLoad;
 use dogwoodshunt_residency::report::PendingLoad;
 use dogwoodshunt_residency::report::ReportUpdate;
 use dogwoodshunt_residency::report::Served;
@@ -12,6 +13,7 @@
 use dogwoodshunt_types::AdapterRef;
 use dogwoodshunt_types::Priority;
 use proptest::prelude::*;
+use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -54,6 +56,7 @@
                 prefill_tokens_per_second: 38_000,
                 free_slots: 3,
                 prefill_busy_percent: 50,
+                learned: None,
             }),
         }],
         queued: running / 4,
@@ -90,6 +93,42 @@
     assert!(len <= MAX_LOAD_BYTES + 2 * MAX_ADAPTER_BYTES, "{len} bytes");
 }
 
+fn encode(value: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(value, &mut bytes).unwrap();
+    bytes
+}
+
+/// Guards against a load that releases without learned costs can't decode while no entry uses
+/// them, and against one that such releases send and this one can't decode.
+#[test]
+fn a_load_without_learned_costs_is_encoded_as_before() {
+    let before = encode(&(9_200_u64, 120_000_u64, 38_000_u64, 3_u32, 50_u8));
+    let load: EngineLoad = ciborium::from_reader(&*before).unwrap();
+    assert_eq!((load.free_slots, load.learned), (3, None));
+    assert_eq!(encode(&load), before);
+}
+
+/// Guards against a learned load that is lost or grows beyond a few bytes.
+#[test]
+fn a_learned_load_takes_few_bytes() {
+    let load = EngineLoad {
+        learned: Some(LearnedLoad {
+            streams: 12,
+            tightest_gap: Duration::from_millis(500),
+            ns_per_token: 26_000,
+            margin_percent: 250,
+            slowdown_percent: 100,
+        }),
+        ..EngineLoad::default()
+    };
+    let bytes = encode(&load);
+    let decoded: EngineLoad = ciborium::from_reader(&*bytes).unwrap();
+    assert_eq!(decoded, load);
+    let without = encode(&EngineLoad::default()).len();
+    assert!(bytes.len() <= without + 14, "{} bytes", bytes.len());
+}
+
 #[test]
 fn heartbeat_without_news_is_small() {
     let heartbeat = Heartbeat {
