Choose plain upstreams by learned call times, and show learned speeds

Cause: the pool counts calls in flight, so an upstream that takes longer gets as many calls as the others until they pile up; and nothing shows what agents learn or why a prompt waits.

Change: with `placing.learned_costs`, a pool weighs the calls in flight and the new one by the call time of the upstream, learned from the time that calls spend in flight and their ends (`dogwoodshunt_costs::CallTime`). The model records the end of each request.

--- a/crates/dogwoodshunt_costs/src/tests.rs
+++ b/crates/dogwoodshunt_costs/src/tests.rs
@@ -1,3 +1,4 @@
 //! Tests of the learners.
 
+mod call_time;
 mod speed;
--- a/crates/dogwoodshunt_engine_agent/src/control/engine.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/engine.rs
@@ -14,9 +14,11 @@
 use crate::engine::Order;
 use crate::engine::OrderAnswer;
 use crate::engine::OrderRequest;
+use dogwoodshunt_costs::EngineSpeed;
 use dogwoodshunt_residency::UpstreamKey;
 use dogwoodshunt_residency::orders::OrderOutcome;
 use dogwoodshunt_residency::orders::ProbeResponse;
+use dogwoodshunt_residency::prefill_pacing::Pace;
 use dogwoodshunt_residency::upstream::BaseModelState;
 use dogwoodshunt_residency::upstream::Limits;
 use dogwoodshunt_residency::upstream::ResidentState;
@@ -454,11 +456,14 @@
 
     /// Logs the load of the engine as the agent and as the engine count it, and
     /// updates the gauges.
-    pub(super) fn record_load(&self) {
-        let upstream = self.engine.key.and_then(|key| self.scheduler.upstream(key));
-        let (Some(upstream), Some(report)) = (upstream, &self.engine.report) else {
+    pub(super) fn record_load(&self, now: Instant) {
+        let (Some(key), Some(report)) = (self.engine.key, &self.engine.report) else {
+            return;
+        };
+        let Some(upstream) = self.scheduler.upstream(key) else {
             return;
         };
+        self.record_learned(now, key, &upstream.tokens.speed);
         let to_gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         let metrics = &self.context.metrics;
         metrics.runs_granted.set(to_gauge(upstream.running as u64));
@@ -479,6 +484,27 @@
             "engine_waiting" => report.queued_requests, "engine_kv" => report.kv_tokens_used);
     }
 
+    /// Records the learned speed, and why the next prompt waits, while entries use learned costs.
+    fn record_learned(&self, now: Instant, key: UpstreamKey, speed: &EngineSpeed) {
+        if !self.scheduler.paces_prompts() {
+            return;
+        }
+        let streams = self.scheduler.begun_streams(key);
+        let metrics = &self.context.metrics;
+        metrics.begun_streams.set(streams.count.into());
+        let ns_per_token = (speed.ms_per_token() * 1e6) as i64;
+        metrics.learned_ns_per_token.set(ns_per_token);
+        let margin_percent = (speed.margin() * 100.0) as i64;
+        metrics.learned_margin_percent.set(margin_percent);
+        let next = self.scheduler.pace_of_next(now, key);
+        info!(self.context.log, "learned"; "streams" => streams.count,
+            "gap_ms" => streams.tightest_gap.as_millis() as u64,
+            "known" => speed.is_known(), "ns_per_token" => ns_per_token,
+            "margin_percent" => margin_percent,
+            "slowdown_percent" => (speed.slowdown(now) * 100.0) as u64,
+            "next_prompt" => next.map_or("none", Pace::as_str));
+    }
+
     /// Returns the fencing token, or 0 while this agent does not own the engine.
     pub(super) fn fencing_token(&self) -> Epoch {
         self.engine.epoch.unwrap_or(0)
--- a/crates/dogwoodshunt_engine_agent/src/control/mod.rs
+++ b/crates/dogwoodshunt_engine_agent/src/control/mod.rs
@@ -252,7 +252,7 @@
         self.send_due_heartbeats(now);
         if self.load_log_due <= now {
             self.load_log_due = now + LOAD_LOG_INTERVAL;
-            self.record_load();
+            self.record_load(now);
         }
     }
 
--- a/crates/dogwoodshunt_engine_agent/src/metrics.rs
+++ b/crates/dogwoodshunt_engine_agent/src/metrics.rs
@@ -33,6 +33,12 @@
     pub unread_tokens: Gauge,
     /// Adapters that occupy an adapter slot of the engine.
     pub resident_adapters: Gauge,
+    /// Begun streams with a gap limit.
+    pub begun_streams: Gauge,
+    /// Learned time per prompt token without a transient slowdown, in nanoseconds.
+    pub learned_ns_per_token: Gauge,
+    /// Learned transient slowdown to allow for, in percent.
+    pub learned_margin_percent: Gauge,
 }
 
 impl Metrics {
@@ -46,6 +52,9 @@
             runs_queued: Gauge::default(),
             unread_tokens: Gauge::default(),
             resident_adapters: Gauge::default(),
+            begun_streams: Gauge::default(),
+            learned_ns_per_token: Gauge::default(),
+            learned_margin_percent: Gauge::default(),
         };
         let admissions = metrics.admissions.clone();
         registry.register("admissions", "Runs asked for, by decision", admissions);
@@ -66,6 +75,21 @@
                 "Adapters that hold a place",
                 &metrics.resident_adapters,
             ),
+            (
+                "begun_streams",
+                "Streams with a gap limit",
+                &metrics.begun_streams,
+            ),
+            (
+                "learned_ns_per_token",
+                "Learned time per prompt token",
+                &metrics.learned_ns_per_token,
+            ),
+            (
+                "learned_margin_percent",
+                "Learned slowdown to allow for",
+                &metrics.learned_margin_percent,
+            ),
         ] {
             registry.register(name, help, gauge.clone());
         }
--- a/crates/dogwoodshunt_gateway/src/control/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/control/plain_service.rs
@@ -122,6 +122,7 @@
         let none_available = NotRun::new(NotRunReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER);
         let pool = self.pools.get_mut(&service).ok_or(none_available)?;
         pool.set_place(self.entries.place());
+        pool.set_learned_costs(self.router.uses_learned_costs());
         match pool.pick(now, &self.settings.domain, excluded, software) {
             Ok((upstream, member)) => Ok(SelectedUpstream {
                 rate_limited: member.rate_limit.is_some(),
--- a/crates/dogwoodshunt_model/src/outcome.rs
+++ b/crates/dogwoodshunt_model/src/outcome.rs
@@ -28,6 +28,19 @@
     pub failed: u64,
 }
 
+/// End of one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RequestEnd {
+    /// Index of the class in [`workload::classes`].
+    pub class: usize,
+    /// Index of the requested adapter.
+    pub adapter: usize,
+    /// Length of the prompt.
+    pub prompt_tokens: u32,
+    /// Whether the caller got a complete response.
+    pub is_served: bool,
+}
+
 /// Results of a simulation.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
@@ -39,6 +52,8 @@
     pub store_loads: u64,
     /// Prompt tokens prefilled by all engines.
     pub prefilled_tokens: u64,
+    /// All requests, in the order of their ends.
+    pub ends: Vec<RequestEnd>,
     /// Start of each run, from the start of the simulation, with the index of its engine.
     pub runs: Vec<(Duration, usize)>,
 }
--- a/crates/dogwoodshunt_model/src/simulation/execution.rs
+++ b/crates/dogwoodshunt_model/src/simulation/execution.rs
@@ -4,10 +4,12 @@
 use crate::engine::Progress;
 use crate::engine::SimRequestId;
 use crate::outcome::ClassCounts;
+use crate::outcome::RequestEnd;
 use crate::simulation::LINK_LATENCY;
 use crate::simulation::Simulation;
 use crate::simulation::event::Event;
 use crate::simulation::target_of;
+use crate::workload::Request;
 use dogwoodshunt_residency::job::AnyJob;
 use dogwoodshunt_residency::job::RunOutcome;
 
@@ -84,6 +86,8 @@
             .is_none_or(|time| time > class.latency_objective);
         let event_gap_late = in_flight.max_event_gap > self.config.max_event_gap;
         let (class, arrival) = (in_flight.request.class, in_flight.request.arrival);
+        let end = request_end(&in_flight.request, true);
+        self.outcome.ends.push(end);
         let counts = self.counts(class, arrival);
         match (first_event_late, event_gap_late) {
             (true, _) => counts.first_event_late += 1,
@@ -144,6 +148,8 @@
     pub(super) fn finish(&mut self, id: SimRequestId, count: impl FnOnce(&mut ClassCounts)) {
         self.release(id);
         if let Some(in_flight) = self.in_flight.remove(&id) {
+            let end = request_end(&in_flight.request, false);
+            self.outcome.ends.push(end);
             count(self.counts(in_flight.request.class, in_flight.request.arrival));
         }
     }
@@ -175,3 +181,12 @@
         self.plan(host_index);
     }
 }
+
+fn request_end(request: &Request, is_served: bool) -> RequestEnd {
+    RequestEnd {
+        class: request.class,
+        adapter: request.adapter,
+        prompt_tokens: request.demand.prompt_tokens,
+        is_served,
+    }
+}
--- a/crates/dogwoodshunt_model/src/tests/learned_costs.rs
+++ b/crates/dogwoodshunt_model/src/tests/learned_costs.rs
@@ -7,8 +7,11 @@
 use crate::Workload;
 use crate::engine::EngineSpec;
 use crate::host::SlowMoments;
+use crate::outcome::RequestEnd;
 use dogwoodshunt_residency::SchedulerSettings;
 use dogwoodshunt_routing::RouterSettings;
+use rstest::rstest;
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// Number of engines; the customer has 47.
@@ -136,3 +139,59 @@
     );
     assert!(on.loads * 10 <= off.loads * 11, "{on:?} instead of {off:?}");
 }
+
+/// Guards against learned costs that harm a fleet without slow moments, and against an engine that
+/// is always slower and gets more than it can serve.
+#[rstest]
+#[case::equal_speeds(Vec::new())]
+#[case::one_slower(vec![1.3])]
+fn no_kind_is_served_worse_without_slow_moments(#[case] slow_engines: Vec<f64>) {
+    let fleet = Fleet {
+        slow_engines,
+        slow_moments: None,
+    };
+    let (off, on) = (results(&fleet, false), results(&fleet, true));
+    for (off, on) in off.kinds.iter().zip(on.kinds) {
+        // About two standard deviations of a count of 200.
+        let noise = 28;
+        assert!(
+            on.late + on.unserved <= off.late + off.unserved + noise,
+            "{on:?} instead of {off:?}"
+        );
+    }
+    assert!(on.loads * 10 <= off.loads * 11, "{on:?} instead of {off:?}");
+}
+
+fn served_share<'a>(ends: impl Iterator<Item = &'a RequestEnd>) -> f64 {
+    let (mut served, mut all) = (0.0, 0.0);
+    for end in ends {
+        all += 1.0;
+        served += f64::from(u8::from(end.is_served));
+    }
+    served / all
+}
+
+/// Guards against large prompts that wait for streams until they are refused, and against rare
+/// adapters that are never loaded, since every engine has streams to lose.
+#[test]
+fn large_prompts_and_rare_adapters_do_not_starve() {
+    let outcomes: Vec<Outcome> = (1..=2)
+        .map(|seed| simulate(&customer_fleet(), true, seed))
+        .collect();
+    for class in 0..2 {
+        let of_class = |end: &&RequestEnd| end.class == class;
+        for outcome in &outcomes {
+            let ends = || outcome.ends.iter().filter(of_class);
+            let all = served_share(ends());
+            let mut sizes: Vec<u32> = ends().map(|end| end.prompt_tokens).collect();
+            sizes.sort_unstable();
+            let large = sizes[sizes.len() * 9 / 10];
+            let large = served_share(ends().filter(|end| end.prompt_tokens >= large));
+            assert!(large >= all / 2.0, "class {class}: {large} beside {all}");
+            let mut counts: HashMap<usize, u32> = HashMap::new();
+            ends().for_each(|end| *counts.entry(end.adapter).or_default() += 1);
+            let rare = served_share(ends().filter(|end| counts[&end.adapter] <= 3));
+            assert!(rare >= all / 2.0, "class {class}: {rare} beside {all}");
+        }
+    }
+}
--- a/crates/dogwoodshunt_residency/src/plan.rs
+++ b/crates/dogwoodshunt_residency/src/plan.rs
@@ -207,7 +207,7 @@
     /// Returns the queue in scheduling order: by descending priority; within a
     /// priority, jobs that can still meet their latency objective before all others;
     /// then by rank and arrival.
-    fn sorted_queue(&self, now: Instant) -> Vec<JobKey> {
+    pub(crate) fn sorted_queue(&self, now: Instant) -> Vec<JobKey> {
         let mut keys = self.queue.clone();
         keys.sort_by_key(|key| match &self.jobs[*key] {
             AnyJob::Queued(job) => {
--- a/crates/dogwoodshunt_residency/src/prefill_pacing.rs
+++ b/crates/dogwoodshunt_residency/src/prefill_pacing.rs
@@ -54,6 +54,19 @@
     Wait,
 }
 
+impl Pace {
+    /// Returns the name of the decision in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::NoStreams => "no-streams",
+            Self::Tolerated => "tolerated",
+            Self::Due => "due",
+            Self::Wait => "wait",
+        }
+    }
+}
+
 /// Decides whether a prompt may be dispatched now or waits until the running streams have had an
 /// event.
 pub fn decide(now: Instant, input: &PacingInput<'_>) -> Pace {
@@ -91,6 +104,21 @@
         })
     }
 
+    /// Returns whether an entry has asked to pace prompts.
+    pub fn paces_prompts(&self) -> bool {
+        self.paces_prompts
+    }
+
+    /// Returns the decision on the job that is next in the queue; `None` if none is paced.
+    pub fn pace_of_next(&self, now: Instant, key: UpstreamKey) -> Option<Pace> {
+        let queue = self.sorted_queue(now);
+        let next = queue.first().and_then(|job| self.job(*job));
+        match next {
+            Some(AnyJob::Queued(job)) if job.pacing.is_some() => Some(self.pace(now, key, job)),
+            Some(AnyJob::Queued(_) | AnyJob::Running(_)) | None => None,
+        }
+    }
+
     /// Returns whether `job` must wait until the streams on the upstream have had an event.
     ///
     /// A job whose entry does not pace prompts never waits.
--- a/crates/dogwoodshunt_residency/src/tests/prefill_pacing.rs
+++ b/crates/dogwoodshunt_residency/src/tests/prefill_pacing.rs
@@ -179,3 +179,24 @@
     engine.engine.scheduler.on_run_end(engine.now, stream, end);
     assert_eq!(learned(&engine), Some((0, Duration::ZERO)));
 }
+
+/// Guards against a speed that outlives the engine's process.
+#[test]
+fn another_process_starts_with_a_neutral_speed() {
+    let mut engine = PacedEngine::new();
+    for _ in 0..6 {
+        let stream = engine.begin_stream(true);
+        let end = RunOutcome::Finished;
+        engine.engine.scheduler.on_run_end(engine.now, stream, end);
+    }
+    let key = engine.engine.key;
+    let is_known = |engine: &PacedEngine| {
+        let upstream = engine.engine.scheduler.upstream(key);
+        upstream.is_some_and(|upstream| upstream.tokens.speed.is_known())
+    };
+    assert!(is_known(&engine));
+    engine.engine.response.boot += 1;
+    let response = engine.engine.response.clone();
+    engine.engine.scheduler.on_probe(engine.now, key, &response);
+    assert!(!is_known(&engine));
+}
--- a/crates/dogwoodshunt_serving/src/pool.rs
+++ b/crates/dogwoodshunt_serving/src/pool.rs
@@ -6,6 +6,7 @@
 
 use crate::rate_share::EntryPlace;
 use crate::registry::ListedUpstream;
+use dogwoodshunt_costs::CallTime;
 use dogwoodshunt_types::FailureDomain;
 use dogwoodshunt_types::RateLimit;
 use dogwoodshunt_types::SoftwareVersion;
@@ -49,6 +50,8 @@
     /// When this entry last chose the upstream.
     last_chosen_at: Option<Instant>,
     in_flight: u32,
+    /// Learned time of this entry's calls.
+    call_time: CallTime,
     /// Failure rate at `last_outcome_at`, from 0 to 1.
     failure_rate: f64,
     /// When the last call ended whose [`CallEnd`] was not [`CallEnd::Neutral`].
@@ -109,6 +112,7 @@
 pub struct UpstreamPool {
     members: BTreeMap<UpstreamName, PoolMember>,
     place: EntryPlace,
+    learned_costs: bool,
 }
 
 impl Default for UpstreamPool {
@@ -120,6 +124,7 @@
                 entries: 1,
                 rank: None,
             },
+            learned_costs: false,
         }
     }
 }
@@ -141,6 +146,7 @@
                 rate_limit: None,
                 last_chosen_at: None,
                 in_flight: 0,
+                call_time: CallTime::default(),
                 failure_rate: 0.0,
                 last_outcome_at: None,
             });
@@ -149,6 +155,7 @@
         if member.started != listed.started {
             // Another process has not named the limit of the one before.
             member.rate_limit = None;
+            member.call_time.forget();
         }
         member.started = listed.started;
         member.software = listed.software_identity();
@@ -178,6 +185,18 @@
         self.place = place;
     }
 
+    /// Sets whether upstreams are chosen by their learned call times.
+    pub fn set_learned_costs(&mut self, learned_costs: bool) {
+        self.learned_costs = learned_costs;
+    }
+
+    /// Returns the mean call time of all upstreams, in seconds; 0 without observations.
+    fn mean_call_s(&self, now: Instant) -> f64 {
+        let totals = self.members.values().map(|m| m.call_time.totals(now));
+        let (busy_s, ends) = totals.fold((0.0, 0.0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+        if ends > 0.0 { busy_s / ends } else { 0.0 }
+    }
+
     /// Removes the upstreams for which `is_listed` returns false.
     pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.members.retain(|name, _| is_listed(name));
@@ -197,7 +216,8 @@
     /// call as in flight.
     ///
     /// The upstream with the fewest calls in flight is chosen, where a failure rate
-    /// and a different failure domain count as additional calls. Upstreams that are leaving,
+    /// and a different failure domain count as additional calls. With learned costs, the calls in
+    /// flight and the new one count as many times as the learned call time exceeds that of the pool. Upstreams that are leaving,
     /// have asked for a pause or are in `excluded` are never chosen, nor are those of another version
     /// than `software` if it is given, and those that name a rate limit no more often than the share
     /// of this entry allows.
@@ -213,15 +233,18 @@
         excluded: &[UpstreamName],
         software: Option<&str>,
     ) -> Result<(UpstreamName, &PoolMember), PickError> {
+        let mean_call_s = self.learned_costs.then(|| self.mean_call_s(now));
         let cost = |member: &PoolMember| {
             let domain_cost = if *member.domain == *domain {
                 0.0
             } else {
                 REMOTE_DOMAIN_COST
             };
-            f64::from(member.in_flight)
-                + domain_cost
-                + FAILURE_RATE_COST * member.decayed_failure_rate(now)
+            let calls = f64::from(member.in_flight);
+            let calls = mean_call_s.map_or(calls, |mean_s| {
+                (calls + 1.0) * member.call_time.relative(now, mean_s)
+            });
+            calls + domain_cost + FAILURE_RATE_COST * member.decayed_failure_rate(now)
         };
         let runs_software = |member: &PoolMember| {
             software.is_none_or(|software| member.software.as_deref() == Some(software))
@@ -253,6 +276,7 @@
             });
         };
         member.in_flight += 1;
+        member.call_time.on_start(now);
         member.last_chosen_at = Some(now);
         Ok((name.clone(), member))
     }
@@ -263,6 +287,7 @@
             return;
         };
         member.in_flight = member.in_flight.saturating_sub(1);
+        member.call_time.on_end(now, end != CallEnd::Neutral);
         let observed_rate = match end {
             CallEnd::Answered => 0.0,
             CallEnd::Failed | CallEnd::Lost => 1.0,
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of route lookup, the list of upstreams, pools and admission limits.
 
+mod call_times;
 mod quarantine;
 mod rate_limits;
 mod request_quarantine;
