--- a/crates/dogwoodshunt_engine_agent/src/metrics.rs
+++ b/crates/dogwoodshunt_engine_agent/src/metrics.rs
@@ -52,6 +52,12 @@
     pub quota_tokens: Counter,
     /// Workspaces of which this agent is the ledger.
     pub quota_workspaces: Gauge,
+    /// Begun streams with a gap limit.
+    pub begun_streams: Gauge,
+    /// Learned time per prompt token without a transient slowdown, in nanoseconds.
+    pub learned_ns_per_token: Gauge,
+    /// Learned transient slowdown to allow for, in percent.
+    pub learned_margin_percent: Gauge,
 }
 
 impl Metrics {
@@ -71,6 +77,9 @@
             quota_asks: Family::default(),
             quota_tokens: Counter::default(),
             quota_workspaces: Gauge::default(),
+            begun_streams: Gauge::default(),
+            learned_ns_per_token: Gauge::default(),
+            learned_margin_percent: Gauge::default(),
         };
         let asks = metrics.quota_asks.clone();
         registry.register("quota_asks", "Asks of entries for tokens, by outcome", asks);
@@ -110,6 +119,21 @@
                 "Workspaces of which this agent is the ledger",
                 &metrics.quota_workspaces,
             ),
+            (
+                "begun_streams",
+                "Streams with a gap limit",
+                &metrics.begun_streams,
+            ),
+            (
+                "learned_ns_per_token",
+                "Learned time per prompt token",
+                &metrics.learned_ns_per_token,
+            ),
+            (
+                "learned_margin_percent",
+                "Learned slowdown to allow for",
+                &metrics.learned_margin_percent,
+            ),
         ] {
             registry.register(name, help, gauge.clone());
         }
--- a/crates/dogwoodshunt_engine_agent/src/tests/workspaces.rs
+++ b/crates/dogwoodshunt_engine_agent/src/tests/workspaces.rs
@@ -27,6 +27,7 @@
             demand: Default::default(),
             workspace: Some(workspace.into()),
             max_event_gap: None,
+            paced: false,
             due_in: Duration::from_secs(1),
             time_left: Duration::from_secs(3),
             started: false,
--- a/crates/dogwoodshunt_residency/src/job.rs
+++ b/crates/dogwoodshunt_residency/src/job.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use std::fmt;
+use std::time::Duration;
 use std::time::Instant;
 
 slotmap::new_key_type! {
@@ -81,6 +82,16 @@
     pub pending_prefill: u64,
     /// Work that was charged to the workspace at dispatch.
     pub charged_work: f64,
+    /// Whether the first byte of the response has arrived.
+    pub is_begun: bool,
+}
+
+/// Gap limits of a job whose entry paces prompts by the gaps that they make in streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Pacing {
+    /// Longest gap between two events of the response that counts as on time; `None` if the
+    /// response is not a stream.
+    pub max_event_gap: Option<Duration>,
 }
 
 /// A submitted request in state `S`.
@@ -110,6 +121,8 @@
     pub slo_deadline: Option<Instant>,
     /// Workspace of the caller, if any.
     pub workspace: Group,
+    /// Gap limits by which the job is paced; `None` if its entry does not pace prompts.
+    pub pacing: Option<Pacing>,
     state: S,
 }
 
@@ -149,6 +162,7 @@
             demand: Demand::default(),
             slo_deadline: None,
             workspace: None,
+            pacing: None,
             state: Queued,
         }
     }
@@ -169,6 +183,13 @@
         self
     }
 
+    /// Sets the gap limits by which the job is paced.
+    #[must_use]
+    pub fn with_pacing(mut self, pacing: Option<Pacing>) -> Self {
+        self.pacing = pacing;
+        self
+    }
+
     /// Marks the job as running on `upstream`, which has `pending_prefill` tokens of the
     /// prompt to process.
     pub fn dispatch(
@@ -184,6 +205,7 @@
             dispatched_at: now,
             pending_prefill,
             charged_work: 0.0,
+            is_begun: false,
         })
     }
 
@@ -230,8 +252,15 @@
         self
     }
 
+    /// Returns the gap limit of the response if it is a stream that has begun.
+    pub fn begun_stream_gap(&self) -> Option<Duration> {
+        let pacing = self.pacing.filter(|_| self.state.is_begun);
+        pacing.and_then(|pacing| pacing.max_event_gap)
+    }
+
     /// Marks the whole prompt as processed and returns the tokens that were pending.
     pub fn finish_prefill(&mut self) -> u64 {
+        self.state.is_begun = true;
         std::mem::take(&mut self.state.pending_prefill)
     }
 
@@ -254,6 +283,7 @@
             demand: self.demand,
             slo_deadline: self.slo_deadline,
             workspace: self.workspace,
+            pacing: self.pacing,
             state,
         }
     }
--- a/crates/dogwoodshunt_residency/src/scheduler.rs
+++ b/crates/dogwoodshunt_residency/src/scheduler.rs
@@ -52,6 +52,8 @@
     pub(crate) fair_share: FairShare,
     /// When the caller of the next job that is refused for lack of capacity should return.
     pub(crate) next_retry_at: Option<Instant>,
+    /// Whether an entry has asked to pace prompts by the gaps that they make in streams.
+    pub(crate) paces_prompts: bool,
     leaving: bool,
     mean_run: Duration,
 }
@@ -75,6 +77,7 @@
             preloads: BTreeMap::new(),
             fair_share: FairShare::default(),
             next_retry_at: None,
+            paces_prompts: false,
             leaving: false,
             mean_run: Duration::from_millis(500),
         }
@@ -195,6 +198,7 @@
         if let Some(adapter) = job.target.adapter() {
             self.popularity.record(now, adapter);
         }
+        self.paces_prompts |= job.pacing.is_some();
         let key = self.jobs.insert(AnyJob::Queued(job));
         self.queue.push(key);
         Ok(key)
--- a/crates/dogwoodshunt_serving/src/tests.rs
+++ b/crates/dogwoodshunt_serving/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of route lookup, the list of upstreams, pools and admission limits.
 
+mod call_times;
 mod fair_calls;
 mod quarantine;
 mod rate_limits;
