--- a/crates/dogwoodshunt_quotas/src/tests/ledger.rs
+++ b/crates/dogwoodshunt_quotas/src/tests/ledger.rs
@@ -111,11 +111,11 @@
 #[test]
 fn ledger_refills_by_the_part_of_the_entries_that_are_registered() {
     let mut ledger = TestLedger::new();
-    ledger.register(1, 4, limits(1_000, 1_000, 1));
+    ledger.register(1, 4, limits(1_000, 8_000, 1));
     ledger.pass(1_000, &[1], 4);
     assert_eq!(ledger.ask(1, 4, 250, 0), [(1, 250, 0)]);
     assert_eq!(ledger.ask(1, 4, 250, 0), [(1, 0, 1_000)]);
-    ledger.register(2, 3, limits(1_000, 1_000, 1));
+    ledger.register(2, 3, limits(1_000, 8_000, 1));
     ledger.pass(1_000, &[1, 2], 4);
     assert_eq!(ledger.ask(2, 3, 500, 0), [(2, 500, 0)]);
 }
