--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -15,6 +15,7 @@
 mod versions;
 mod watch;
 mod watch_only;
+mod watch_proofs;
 mod workspace_keys;
 
 use crate::control::Control;
--- a/crates/dogwoodshunt_gateway/src/tests/workspace_keys.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/workspace_keys.rs
@@ -296,6 +296,10 @@
         CallResponse::Lost(_)
     ));
     assert_eq!(test.sent_for()[0], None);
+    assert!(matches!(
+        test.serve(PUBLIC_PATH, Some("k"), |_, _| {}),
+        CallResponse::Lost(_)
+    ));
 }
 
 /// Guards against the first send of a request that waited for an upstream until the proof lapsed.
