Test refusals at the limits as clients see them, and the settings of limits

Cause: the crowds check the process only, not what a client gets.

Change: tests of the server send bodies that are too large, stop or find no room, and check the status, that no reset discards it, and that all leases end. The settings are checked for ranges.

--- a/crates/dogwoodshunt_border/src/tests.rs
+++ b/crates/dogwoodshunt_border/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod connection_pool;
 mod host_list;
+mod limits;
 mod partial_heads;
 mod server;
 mod sse;
--- a/crates/dogwoodshunt_runtime/src/tests.rs
+++ b/crates/dogwoodshunt_runtime/src/tests.rs
@@ -1,6 +1,8 @@
 //! Tests of the runtime.
 
+use crate::limits::LimitSettings;
 use crate::traffic;
+use rstest::rstest;
 use std::time::Duration;
 
 /// One request that fails unexpectedly must not stop the others of its process.
@@ -38,3 +40,21 @@
         assert_eq!(later.await, 7);
     });
 }
+
+/// Guards against limits on clients that are out of range, or that contradict each other.
+#[rstest]
+#[case::none("{}", None)]
+#[case::smallest_host(r#"{"memory_mb": 112, "descriptors": 2870}"#, None)]
+#[case::fraction(r#"{"memory_mb": 112.5}"#, None)]
+#[case::no_memory(r#"{"memory_mb": 1}"#, Some("limits.memory_mb"))]
+#[case::too_few_descriptors(r#"{"descriptors": 100}"#, Some("limits.descriptors"))]
+#[case::too_many_connections(
+    r#"{"memory_mb": 112, "connections": 5000}"#,
+    Some("limits.connections")
+)]
+#[case::hasty(r#"{"body_stall_ms": 10}"#, Some("limits.body_stall_ms"))]
+fn limits_on_clients_are_checked(#[case] text: &str, #[case] invalid: Option<&str>) {
+    let settings: LimitSettings = serde_json::from_str(text).expect("settings");
+    let field = settings.validate().err().map(|invalid| invalid.field);
+    assert_eq!(field.as_deref(), invalid);
+}
