Test that a connection is closed whose peer reads nothing

Cause: the crowd that reads nothing does not show whether its connections end by themselves.

Change: a test of the server with a short write_stall, and that nothing stays leased.

Tested: cargo test -p dogwoodshunt_border limits (5 pass); clippy without warnings.

--- a/crates/dogwoodshunt_border/src/tests/limits.rs
+++ b/crates/dogwoodshunt_border/src/tests/limits.rs
@@ -2,6 +2,7 @@
 
 use crate::http::ResponseBody;
 use crate::http::limits::ConnectionAccount;
+use crate::http::limits::LimitEvent;
 use crate::http::limits::ProcessLimits;
 use crate::http::request_body;
 use crate::http::request_body::RequestBodyError;
@@ -127,3 +128,41 @@
     assert!(response.starts_with("HTTP/1.1 503"), "{response}");
     assert_eq!(leased, 0);
 }
+
+/// Answers each request with more than the buffers of a connection hold.
+struct LargeAnswer;
+
+impl Handler for LargeAnswer {
+    async fn handle(&self, _req: Request<Incoming>) -> Response<ResponseBody> {
+        server::text(200, "x".repeat(32 << 20))
+    }
+}
+
+/// Guards against a connection that stays open for a caller that reads nothing.
+#[test]
+fn connection_whose_peer_reads_nothing_is_closed() {
+    let executor: Arc<Executor<'static>> = Arc::new(Executor::new());
+    let mut limits = limits();
+    limits.write_stall = Duration::from_millis(200);
+    let (stalled, stalls) = async_channel::unbounded();
+    let observe = move |event: LimitEvent| stalled.try_send(event).unwrap_or_default();
+    let process = ProcessLimits::new(limits, Box::new(observe));
+    let run = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("listener");
+        let address = listener.local_addr().expect("address");
+        let endpoint = Endpoint::limited(listener, &process, Listener::Callers);
+        let (stop, stopped) = async_channel::bounded(1);
+        let serve = server::serve(endpoint, executor.clone(), stopped, Arc::new(LargeAnswer));
+        let served = executor.spawn(serve);
+        let mut stream = TcpStream::connect(address).await.expect("connection");
+        let request = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+        stream.write_all(request).await.expect("request is taken");
+        assert_eq!(stalls.recv().await, Ok(LimitEvent::WriteStalled));
+        drop(stop);
+        // The server ends while the peer is still connected.
+        served.await;
+        drop(stream);
+    };
+    smol::block_on(executor.run(run));
+    assert_eq!(process.usage(), (0, 0));
+}
