--- a/crates/dogwoodshunt_runtime/src/limits.rs
+++ b/crates/dogwoodshunt_runtime/src/limits.rs
@@ -166,7 +166,7 @@
     ProcessLimits::new(settings.limits(), observer)
 }
 
-/// Returns an observer that calls `count` and logs each limit at most once in [`LOG_INTERVAL`], with
+/// Returns an observer that calls `count` and logs each limit at most once in 10 s, with
 /// the number of times that it was reached since.
 pub fn logged(log: &Logger, count: impl Fn(LimitEvent) + Send + Sync + 'static) -> LimitObserver {
     let log = log.clone();
