--- a/crates/dogwoodshunt_costs/src/speed.rs
+++ b/crates/dogwoodshunt_costs/src/speed.rs
@@ -80,6 +80,12 @@
         Duration::from_secs_f64(ms / 1e3)
     }
 
+    /// Returns the time by which `tokens` more uncached tokens prolong a prefill, without a transient
+    /// slowdown.
+    pub fn prefill_time(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 * self.ms_per_token() / 1e3)
+    }
+
     /// Returns the present transient slowdown: 1 if there is none.
     pub fn slowdown(&self, now: Instant) -> f64 {
         self.newest_ratio.map_or(1.0, |(at, ratio)| {
--- a/crates/dogwoodshunt_residency/src/prefill_pacing.rs
+++ b/crates/dogwoodshunt_residency/src/prefill_pacing.rs
@@ -134,9 +134,6 @@
     fn pace(&self, now: Instant, key: UpstreamKey, job: &Job<Queued>) -> Pace {
         let upstream = &self.upstreams[key];
         let tokens = &upstream.tokens;
-        // A job that is late already waits at most until it would be of no use.
-        let on_time = job.slo_deadline.filter(|at| *at > now);
-        let begins_by = on_time.or(job.deadline);
         // The prompts on the engine are processed first.
         let ahead = tokens.speed.event_time(tokens.pending_prefill);
         let needed = upstream.first_byte_time(job) + ahead;
@@ -145,7 +142,9 @@
             pending_prefill: tokens.pending_prefill,
             streams: self.begun_streams(key),
             speed: &tokens.speed,
-            latest_start: begins_by.map(|at| at.checked_sub(needed).unwrap_or(now)),
+            latest_start: job
+                .useful_until()
+                .map(|at| at.checked_sub(needed).unwrap_or(now)),
         };
         decide(now, &input)
     }
--- a/crates/dogwoodshunt_residency/src/reporting.rs
+++ b/crates/dogwoodshunt_residency/src/reporting.rs
@@ -124,7 +124,8 @@
 
     fn learned_load(&self, now: Instant, key: UpstreamKey) -> LearnedLoad {
         let streams = self.begun_streams(key);
-        let speed = self.upstream(key).map(|upstream| &upstream.tokens.speed);
+        let tokens = self.upstream(key).map(|upstream| &upstream.tokens);
+        let speed = tokens.map(|tokens| &tokens.speed);
         let percent = |ratio: f64| {
             ((ratio * 100.0 / SLOWDOWN_PERCENT_STEP).round() * SLOWDOWN_PERCENT_STEP) as u16
         };
@@ -135,7 +136,7 @@
             tightest_gap: streams.tightest_gap,
             ns_per_token: (ns_steps.round() * NS_PER_TOKEN_STEP) as u32,
             margin_percent: percent(speed.map_or(1.0, |speed| speed.margin())),
-            slowdown_percent: percent(speed.map_or(1.0, |speed| speed.slowdown(now))),
+            slowdown_percent: percent(tokens.map_or(1.0, |tokens| tokens.slowdown(now))),
         }
     }
 
--- a/crates/dogwoodshunt_residency/src/upstream.rs
+++ b/crates/dogwoodshunt_residency/src/upstream.rs
@@ -22,6 +22,10 @@
 /// the rate limit allows it.
 const MAX_DISPATCH_DELAY: Duration = Duration::from_millis(40);
 
+/// Highest slowdown that overdue prompts show: a longer delay is a fault, or a first byte that will
+/// not come.
+const MAX_OVERDUE: f64 = 4.0;
+
 slotmap::new_key_type! {
     /// Identifies an upstream of this agent.
     pub struct UpstreamKey;
@@ -99,6 +103,9 @@
     /// Time of dispatch and uncached tokens of the prompt that the engine processes, if it has had
     /// no other one since.
     lone_prompt: Option<(Instant, u64)>,
+    /// Start of the present prefill, and the time at which the last first event is expected at the
+    /// persistent speed; `None` before the first prompt.
+    expected_prefill: Option<(Instant, Instant)>,
 }
 
 impl TokenLoad {
@@ -106,10 +113,25 @@
     pub(crate) fn start_prefill(&mut self, now: Instant, uncached: u64) {
         let is_alone = self.pending_prefill == 0 && uncached > 0;
         self.lone_prompt = is_alone.then_some((now, uncached));
+        self.expected_prefill = match self.expected_prefill.filter(|_| self.pending_prefill > 0) {
+            Some((from, until)) => Some((from, until + self.speed.prefill_time(uncached))),
+            None => Some((now, now + self.speed.event_time(uncached))),
+        };
         self.pending_prefill += uncached;
         self.prefill_rate.on_prefill_start(now);
     }
 
+    /// Returns the present transient slowdown: that of the newest sample, or that by which the
+    /// pending prompts are overdue.
+    pub(crate) fn slowdown(&self, now: Instant) -> f64 {
+        let pending = self.expected_prefill.filter(|_| self.pending_prefill > 0);
+        let overdue = pending.map_or(1.0, |(from, until)| {
+            let expected = until.saturating_duration_since(from).as_secs_f64();
+            now.saturating_duration_since(from).as_secs_f64() / expected.max(1e-3)
+        });
+        self.speed.slowdown(now).max(overdue.min(MAX_OVERDUE))
+    }
+
     fn finish_prefill(&mut self, now: Instant, tokens: u64) {
         if let Some((at, lone_tokens)) = self.lone_prompt
             && lone_tokens == tokens
@@ -241,6 +263,7 @@
                 prefill_rate: PrefillRate::default(),
                 speed: EngineSpeed::default(),
                 lone_prompt: None,
+                expected_prefill: None,
             },
             residents: BTreeMap::new(),
             load_window: LoadWindow::default(),
@@ -399,6 +422,7 @@
             self.tokens.prefixes.clear();
             self.tokens.speed = EngineSpeed::default();
             self.tokens.lone_prompt = None;
+            self.tokens.expected_prefill = None;
             self.load_window.reset(now, settings.initial_load_limit);
         }
         for adapter in listed {
--- a/crates/dogwoodshunt_routing/src/cost.rs
+++ b/crates/dogwoodshunt_routing/src/cost.rs
@@ -199,7 +199,9 @@
     let learned = engine.learned.filter(|_| settings.learned_costs);
     let loss_s = learned.map_or(0.0, |learned| {
         let uncached = agent.uncached_tokens(target, demand);
-        stream_loss::loss_s(&learned, engine.prefill_busy_percent, uncached, demand)
+        let prefill_ahead = engine.pending_prefill + agent.unreported_tokens(now);
+        let slow_s = stream_loss::slow_wait_s(&learned, prefill_ahead + uncached);
+        slow_s + stream_loss::loss_s(&learned, uncached)
     });
     Some(
         settings.interference_weight * running_delay_s
--- a/crates/dogwoodshunt_routing/src/stream_loss.rs
+++ b/crates/dogwoodshunt_routing/src/stream_loss.rs
@@ -1,28 +1,26 @@
 //! Expected loss by streams that become late, since a prefill delays an event past its gap limit.
 
-use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::report::LearnedLoad;
 
 /// Cost of a stream that becomes late, in seconds of wait. In the model of the calm load, 0.25 and
-/// more made long prompts later than they were without this cost.
+/// more made long prompts late more often than they were without this cost.
 const LATE_STREAM_S: f64 = 0.1;
 
 /// Share of the time that an engine is assumed to be in a transient slowdown.
 const SLOW_SHARE: f64 = 0.15;
 
+/// Longest wait by one transient slowdown, in seconds. It lasts some hundred milliseconds.
+const SLOW_WAIT_S: f64 = 0.5;
+
+/// Weight of the wait by a transient slowdown, which is often over before the prefill begins.
+const SLOW_WAIT_WEIGHT: f64 = 0.5;
+
 /// Prompt tokens that an engine could prefill in the time of one event without any prefill.
 const EVENT_TOKENS: f64 = 1_200.0;
 
 /// Time per prompt token of an engine whose speed is not known, in nanoseconds.
 const INITIAL_NS_PER_TOKEN: f64 = 33_000.0;
 
-/// Response length at which the whole of its stream is exposed to later prompts, in tokens.
-const EXPOSED_TOKENS: f64 = 300.0;
-
-/// Probability that the prefill work of an engine that does nothing but prefill makes a long
-/// stream late.
-const SATURATED_RISK: f64 = 0.9;
-
 /// Returns the probability that a gap of expected length `ratio`, as a share of its limit, exceeds
 /// the limit. The estimate of its length is off by up to a fifth.
 fn exceeds(ratio: f64) -> f64 {
@@ -42,13 +40,18 @@
     now.max(SLOW_SHARE * if_slow)
 }
 
-/// Returns the expected loss of running a request on the engine, in seconds of wait: that of the
-/// streams that run there, and that of the request's own stream by prompts that follow.
-pub fn loss_s(load: &LearnedLoad, busy_percent: u8, uncached: u64, demand: &Demand) -> f64 {
-    let others = f64::from(load.streams) * gap_probability(load, uncached);
-    let exposure = (f64::from(demand.output_tokens) / EXPOSED_TOKENS).min(1.0);
-    let own = SATURATED_RISK * f64::from(busy_percent) / 100.0 * exposure;
-    LATE_STREAM_S * (others + own)
+/// Returns the time that a transient slowdown of the engine adds to the prefill of `tokens`, in
+/// seconds.
+pub fn slow_wait_s(load: &LearnedLoad, tokens: u64) -> f64 {
+    let excess = f64::from(load.slowdown_percent.max(100)) / 100.0 - 1.0;
+    let prefill_s = (tokens as f64 + EVENT_TOKENS) * s_per_token(load);
+    SLOW_WAIT_WEIGHT * (prefill_s * excess).min(SLOW_WAIT_S)
+}
+
+/// Returns the expected loss of the streams on the engine by a prefill of `uncached` tokens, in
+/// seconds of wait.
+pub fn loss_s(load: &LearnedLoad, uncached: u64) -> f64 {
+    LATE_STREAM_S * f64::from(load.streams) * gap_probability(load, uncached)
 }
 
 /// Returns the learned time per prompt token, in seconds.
