Keep long prompts and long streams on different engines where capacity allows

Change, with placing.learned_costs: a part of the engines in proportion to the work of long streams, learned by each entry, is preferred for these, and the others for prompts that can make a gap too long at the learned slowdown. Entries agree on the order of the engines by hashing.

--- a/crates/dogwoodshunt_entry/src/control/routing.rs
+++ b/crates/dogwoodshunt_entry/src/control/routing.rs
@@ -102,6 +102,7 @@
                 demand: &Demand::default(),
                 service: None,
                 software: None,
+                max_event_gap: None,
             },
         );
         let agent = routed.map_err(RoutingError::NotRun)?;
--- a/crates/dogwoodshunt_gateway/src/control/placement.rs
+++ b/crates/dogwoodshunt_gateway/src/control/placement.rs
@@ -269,6 +269,7 @@
             demand: &placement.req.demand,
             service: Some(&*placement.req.service),
             software: placement.req.software.as_deref(),
+            max_event_gap: placement.req.max_event_gap,
         };
         let mut routed = self.router.route(now, &in_time);
         let is_late = routed.is_err_and(|not_run| not_run.reason == NotRunReason::Deadline);
--- a/crates/dogwoodshunt_load/src/scaling/cpu_time.rs
+++ b/crates/dogwoodshunt_load/src/scaling/cpu_time.rs
@@ -158,6 +158,7 @@
             demand: &Demand::default(),
             service: None,
             software: None,
+            max_event_gap: None,
         };
         if let Ok(agent) = router.route(now, &request) {
             router.on_attempt_end(agent, &target);
--- a/crates/dogwoodshunt_model/src/simulation.rs
+++ b/crates/dogwoodshunt_model/src/simulation.rs
@@ -280,6 +280,7 @@
                 demand: &in_flight.request.demand,
                 service: None,
                 software: None,
+                max_event_gap: Some(self.config.max_event_gap),
             },
         );
         let selected = routed
--- a/crates/dogwoodshunt_model/src/tests/learned_costs.rs
+++ b/crates/dogwoodshunt_model/src/tests/learned_costs.rs
@@ -123,23 +123,39 @@
 /// Guards against prompts that make gaps too long in the streams of other requests while engines
 /// are slow for a moment.
 #[test]
-fn fewer_streams_are_late_under_the_calm_load() {
-    let off = results(&customer_fleet(), false);
-    let on = results(&customer_fleet(), true);
-    let [long_prompts, long_streams] = [0, 1].map(|kind| (off.kinds[kind], on.kinds[kind]));
-    for (off, on) in [long_prompts, long_streams] {
-        // 2% is one standard deviation of a count of 1,500.
-        assert!(
-            (on.late + on.unserved) * 100 <= (off.late + off.unserved) * 102,
-            "{on:?} instead of {off:?}"
-        );
-    }
-    let (off_streams, on_streams) = long_streams;
+fn fewer_long_streams_are_late_under_the_calm_load() {
+    let (off, on) = (
+        results(&customer_fleet(), false).kinds[1],
+        results(&customer_fleet(), true).kinds[1],
+    );
+    assert!(on.late * 10 <= off.late * 8, "{on:?} instead of {off:?}");
     assert!(
-        on_streams.late * 10 <= off_streams.late * 9,
-        "{on_streams:?} instead of {off_streams:?}"
+        on.late + on.unserved <= off.late + off.unserved,
+        "{on:?} instead of {off:?}"
     );
-    assert!(on.loads * 10 <= off.loads * 11, "{on:?} instead of {off:?}");
+}
+
+/// Guards against long streams that are in time at the cost of long prompts.
+#[test]
+fn long_prompts_are_not_served_worse_under_the_calm_load() {
+    let (off, on) = (
+        results(&customer_fleet(), false).kinds[0],
+        results(&customer_fleet(), true).kinds[0],
+    );
+    assert!(
+        on.late + on.unserved <= off.late + off.unserved,
+        "{on:?} instead of {off:?}"
+    );
+}
+
+/// Guards against adapters that are loaded on engines of both parts.
+#[test]
+fn few_more_adapters_are_loaded_under_the_calm_load() {
+    let (off, on) = (
+        results(&customer_fleet(), false).loads,
+        results(&customer_fleet(), true).loads,
+    );
+    assert!(on * 10 <= off * 11, "{on} loads instead of {off}");
 }
 
 /// Guards against learned costs that harm a fleet without slow moments, and against an engine that
--- a/crates/dogwoodshunt_routing/src/lib.rs
+++ b/crates/dogwoodshunt_routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod agent;
 pub mod attempt;
 pub mod cost;
+pub mod partition;
 pub mod reachability;
 pub mod retry;
 pub mod router;
--- a/crates/dogwoodshunt_routing/src/router.rs
+++ b/crates/dogwoodshunt_routing/src/router.rs
@@ -5,6 +5,7 @@
 use crate::agent::AgentKey;
 use crate::agent::Presence;
 use crate::cost;
+use crate::partition::Partition;
 use crate::reachability::Reachability;
 use crate::reachability::UnreachedCause;
 use crate::retry;
@@ -57,6 +58,9 @@
     pub service: Option<&'a str>,
     /// Version of the software that must run the request; `None` if any may.
     pub software: Option<&'a str>,
+    /// Longest gap between two events of the response that counts as on time; `None` if the
+    /// response is not a stream.
+    pub max_event_gap: Option<Duration>,
 }
 
 /// State of all agents, and the decisions that an entry bases on it.
@@ -69,6 +73,8 @@
     pending_load_count: usize,
     retry_budget: RetryBudget,
     popularity: Popularity,
+    /// Applies only with learned costs.
+    partition: Partition,
     rng: ChaCha8Rng,
 }
 
@@ -85,6 +91,7 @@
             pending_load_count: 0,
             retry_budget,
             popularity,
+            partition: Partition::default(),
             rng,
         }
     }
@@ -261,6 +268,13 @@
         }
         agent.reachability.on_send(now);
         agent.begin_attempt(req.target);
+        if self.settings.learned_costs {
+            let uncached = agent.uncached_tokens(req.target, req.demand);
+            let class = self
+                .partition
+                .classify(req.demand, uncached, req.max_event_gap);
+            self.partition.record(now, class, req.demand, uncached);
+        }
         agent.record_prompt(now, req.target, req.demand);
         if let Some(adapter) = req.target.adapter() {
             self.adapter_index.add(key, [adapter]);
@@ -383,7 +397,7 @@
     /// unknown.
     fn cheapest(&mut self, now: Instant, req: &RouteRequest<'_>) -> Option<AgentKey> {
         let sampled = self.sample(now, req);
-        let mut candidates = self.homes(now, req, self.settings.homes);
+        let mut candidates = self.preferred_homes(now, req);
         let first_home = candidates.first().copied();
         let agents_with_adapter = req
             .target
@@ -418,7 +432,8 @@
             let rank_cost =
                 rank.min(self.settings.homes) as f64 * self.cost_per_home_rank_s(agent, req.target);
             let is_late = self.check_deadline(now, req, *key).is_err();
-            Some((is_late, cost + rank_cost, rank, *key))
+            let partition_cost = self.partition_cost_s(*key, req);
+            Some((is_late, cost + rank_cost + partition_cost, rank, *key))
         });
         let best = estimates.min_by(|a, b| {
             let by_cost = a.1.total_cmp(&b.1).then(a.2.cmp(&b.2));
@@ -427,6 +442,39 @@
         best.map(|(_, _, _, key)| key).or(first_home)
     }
 
+    /// Returns the home agents of a request. With learned costs, the homes among the engines that
+    /// are preferred for the class of the request come first, if there is a preference.
+    fn preferred_homes(&mut self, now: Instant, req: &RouteRequest<'_>) -> Vec<AgentKey> {
+        let homes = self.homes(now, req, self.settings.homes);
+        if !self.settings.learned_costs {
+            return homes;
+        }
+        self.partition.update_order(now, self.agents.iter());
+        let prompt_tokens = u64::from(req.demand.prompt_tokens);
+        let class = self
+            .partition
+            .classify(req.demand, prompt_tokens, req.max_event_gap);
+        let is_preferred = |key: AgentKey| self.partition.is_preferred(class, key) == Some(true);
+        let mut preferred = self.homes_among(now, req, self.settings.homes, is_preferred);
+        let others = homes.into_iter().filter(|key| !preferred.contains(key));
+        let others: Vec<AgentKey> = others.collect();
+        preferred.extend(others);
+        preferred
+    }
+
+    /// Returns the cost of an engine that is preferred for requests of another class, in seconds of
+    /// wait.
+    fn partition_cost_s(&self, key: AgentKey, req: &RouteRequest<'_>) -> f64 {
+        if !self.settings.learned_costs {
+            return 0.0;
+        }
+        let uncached = self.agents[key].uncached_tokens(req.target, req.demand);
+        let class = self
+            .partition
+            .classify(req.demand, uncached, req.max_event_gap);
+        self.partition.cost_s(class, key)
+    }
+
     /// Returns the least loaded one of the random candidates that are eligible.
     fn sample(&mut self, now: Instant, req: &RouteRequest<'_>) -> Option<AgentKey> {
         let of_service = || {
@@ -480,9 +528,21 @@
     /// Returns the first `count` eligible agents by rendezvous hashing, in
     /// descending order of weight.
     fn homes(&self, now: Instant, req: &RouteRequest<'_>, count: usize) -> Vec<AgentKey> {
+        self.homes_among(now, req, count, |_| true)
+    }
+
+    /// Returns the first `count` of the eligible agents that `accepts` returns true for, as
+    /// [`Self::homes`] does.
+    fn homes_among(
+        &self,
+        now: Instant,
+        req: &RouteRequest<'_>,
+        count: usize,
+        accepts: impl Fn(AgentKey) -> bool,
+    ) -> Vec<AgentKey> {
         let hash_key = req.target.to_string();
         let mut homes: Vec<(u64, AgentKey)> = Vec::with_capacity(count + 1);
-        for key in self.eligible(now, req) {
+        for key in self.eligible(now, req).filter(|key| accepts(*key)) {
             let weight = rendezvous::weight(&hash_key, &self.agents[key].node);
             let rank = homes.partition_point(|(higher, _)| *higher >= weight);
             if rank < count {
--- a/crates/dogwoodshunt_routing/src/tests.rs
+++ b/crates/dogwoodshunt_routing/src/tests.rs
@@ -27,6 +27,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+mod partition;
 mod reachability;
 
 fn adapter(name: &str) -> AdapterRef {
@@ -96,6 +97,7 @@
             demand: &Demand::default(),
             service: None,
             software: None,
+            max_event_gap: None,
         },
     )
 }
@@ -146,6 +148,7 @@
             demand: &demand,
             service: None,
             software: None,
+            max_event_gap: None,
         };
         router.route(now, &req)
     };
@@ -288,6 +291,7 @@
             demand: &Demand::default(),
             service: None,
             software: None,
+            max_event_gap: None,
         },
     );
     let refused = refused.unwrap_err();
@@ -326,6 +330,7 @@
             demand: &Demand::default(),
             service: None,
             software: None,
+            max_event_gap: None,
         };
         let key = router.route(now, &req).unwrap();
         router.on_attempt_end(key, &target);
@@ -360,6 +365,7 @@
             demand: &demand,
             service,
             software: None,
+            max_event_gap: None,
         };
         router.route(now, &req)
     };
@@ -398,6 +404,7 @@
         demand: &demand,
         service: Some("models"),
         software: None,
+        max_event_gap: None,
     };
     let mut chosen: Vec<AgentKey> = (0..200)
         .map(|_| router.route(now, &req).expect("an engine"))
@@ -424,6 +431,7 @@
             demand: &demand,
             service: None,
             software: Some(software),
+            max_event_gap: None,
         };
         router.route(now, &req).map_err(|not_run| not_run.reason)
     };
