Grant half of the quota's slack as additional burst

Small workspaces have a burst of 29,000 tokens, which three large requests at once exceed.

Change: the setting quota_slack, filled in from the platform's bound, adds half of itself to the burst that entries name to ledgers. A request that costs more than burst + 50,000 is refused always, instead of 100,000, so that the bound holds with the tolerance, too.

Tested: gateway, quotas and platform pass.

--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -297,6 +297,8 @@
     pub retry_slack: f64,
     /// Interval between heartbeats to agents.
     pub heartbeat_interval: Duration,
+    /// Cost that a workspace may spend at once beyond its burst.
+    pub quota_tolerance: u64,
 }
 
 /// Control state of an entry; `D` decodes the records of the platform's store.
@@ -348,6 +350,7 @@
         router: Router,
         now: Instant,
     ) -> Self {
+        let quota_tolerance = settings.quota_tolerance;
         let entries = Entries::default();
         let retry_budgets =
             RetryBudgets::new(settings.retry_ratio, settings.retry_slack, entries.count());
@@ -372,7 +375,7 @@
             store_era: 0,
             config_era: 0,
             entries,
-            quotas: QuotaState::new(now),
+            quotas: QuotaState::new(now, quota_tolerance),
             retry_budgets,
             pending: HashMap::new(),
             granted_runs: HashMap::new(),
--- a/crates/dogwoodshunt_gateway/src/control/quotas.rs
+++ b/crates/dogwoodshunt_gateway/src/control/quotas.rs
@@ -51,6 +51,8 @@
 /// Quotas of all workspaces.
 pub(super) struct QuotaState {
     quotas: EntryQuotas<AgentKey, Ticket>,
+    /// Cost that a workspace may spend at once beyond its burst.
+    tolerance: u64,
     /// Limits of a configuration that have not been applied yet.
     new_limits: Option<Vec<(WorkspaceName, QuotaLimits)>>,
     due: Instant,
@@ -62,9 +64,10 @@
 }
 
 impl QuotaState {
-    pub(super) fn new(now: Instant) -> Self {
+    pub(super) fn new(now: Instant, tolerance: u64) -> Self {
         Self {
             quotas: EntryQuotas::default(),
+            tolerance,
             new_limits: None,
             due: now,
             is_choice_due: false,
@@ -78,7 +81,8 @@
     pub(super) fn set_config(&mut self, config: &Config) {
         let workspaces = config.workspaces.iter().flatten();
         let limits = workspaces.filter_map(|workspace| {
-            let limits = QuotaLimits::new(workspace.quota.as_ref()?, config.revision);
+            let mut limits = QuotaLimits::new(workspace.quota.as_ref()?, config.revision);
+            limits.burst = limits.burst.saturating_add(self.tolerance);
             Some((workspace.name.clone(), limits))
         });
         self.new_limits = Some(limits.collect());
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -45,6 +45,11 @@
     /// entry does not reach the key-value service, in milliseconds; `None` if there is no such limit.
     #[serde(default)]
     pub revocation_ms: Option<u64>,
+    /// Cost by which the requests of a workspace may exceed its quota in one window, over all
+    /// entries together. Half of it is granted as additional burst, so that a few large requests
+    /// at once are not refused; the rest covers what entries spend without knowing of each other.
+    #[serde(default)]
+    pub quota_slack: u64,
     /// Weights and limits for the placement of model requests on engines.
     #[serde(default)]
     pub placing: PlacementSettings,
@@ -223,6 +228,11 @@
         self.change_limits.watch_timeout().min(longest)
     }
 
+    /// Returns the cost that a workspace may spend at once beyond its burst.
+    pub fn quota_tolerance(&self) -> u64 {
+        self.quota_slack / 2
+    }
+
     /// Returns the time from SIGTERM until the platform kills the process.
     pub fn grace_period(&self) -> Duration {
         Duration::from_millis(self.grace_ms)
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -209,6 +209,7 @@
             retry_ratio: 0.0,
             retry_slack: 10.0,
             heartbeat_interval: Duration::from_millis(100),
+            quota_tolerance: 50,
         };
         let now = Instant::now();
         let router = Router::new(RouterSettings::builder().batch_weight(0.0).build());
--- a/crates/dogwoodshunt_gateway/src/tests/quotas.rs
+++ b/crates/dogwoodshunt_gateway/src/tests/quotas.rs
@@ -151,3 +151,17 @@
     entry.control.tick(entry.now);
     assert!(entry.take_quota_requests().is_empty());
 }
+
+/// Guards against refusals of large requests that the slack of the quota allows.
+#[test]
+fn ledger_is_told_a_burst_that_includes_the_tolerance() {
+    let mut entry = TestEntry::with_quota();
+    let _paid = entry.take_quota(500);
+    let requests = entry.take_quota_requests();
+    let mut limits = requests
+        .iter()
+        .flat_map(|(_, request)| &request.workspaces)
+        .filter_map(|item| item.limits);
+    let limits = limits.next().expect("limits in the first message");
+    assert_eq!((limits.rate, limits.burst), (1_000, 1_000 + 50));
+}
--- a/crates/dogwoodshunt_quotas/src/entry/account.rs
+++ b/crates/dogwoodshunt_quotas/src/entry/account.rs
@@ -41,7 +41,7 @@
 
 /// Cost beyond the burst above which a request is never granted, since it would alone exceed the
 /// bound on the workspace.
-const MAX_COST_OVER_BURST: u64 = 100_000;
+const MAX_COST_OVER_BURST: u64 = 50_000;
 
 /// Time after which a request may be repeated whose ledger has not answered.
 const SILENT_RETRY_AFTER: Duration = Duration::from_millis(300);
