End the calls of selected upstreams that are not sent

Cause: an upstream of a plain service counts a call in flight from its selection on, but the guard that ends the call was created only for the send. If the deadline had passed by then, the entry was about to stop, or the caller left while it waited for the selection, the call stayed in flight for ever, and the upstream got fewer calls from then on. Found by reading, while fair shares were built.

Change: the guard is created with the selection. A selection that nobody receives ends its call, either in the control thread, if it cannot be sent any more, or when the pending selection is dropped.

Test: upstream_selected_for_a_call_that_is_not_sent_has_no_call_in_flight; without the line in the control thread case 1 fails, without the one in the drop case 2.

--- a/crates/dogwoodshunt_gateway/src/call/guard.rs
+++ b/crates/dogwoodshunt_gateway/src/call/guard.rs
@@ -4,8 +4,11 @@
 use crate::control::ControlEvent;
 use crate::control::PlacementId;
 use crate::control::RunEnd;
+use crate::control::SelectedUpstream;
+use async_channel::Receiver;
 use async_channel::Sender;
 use dogwoodshunt_serving::pool::CallEnd;
+use dogwoodshunt_types::NotRun;
 use dogwoodshunt_types::RequestFingerprint;
 use dogwoodshunt_types::ServiceName;
 use dogwoodshunt_types::UnixMillis;
@@ -55,7 +58,7 @@
 }
 
 /// Reports the end of a call of a plain service when dropped.
-pub(super) struct CallGuard {
+pub(crate) struct CallGuard {
     pub(super) service: ServiceName,
     pub(super) upstream: UpstreamName,
     pub(super) started: UnixMillis,
@@ -78,3 +81,50 @@
         let _ = self.events.try_send(ended);
     }
 }
+
+/// Selection of an upstream that the control thread has been asked for.
+///
+/// A selected upstream has a call in flight from then on. If nobody receives the selection, the call
+/// ends when this is dropped.
+pub(crate) struct PendingSelection {
+    pub(crate) selection_rx: Receiver<Result<SelectedUpstream, NotRun>>,
+    pub(crate) service: ServiceName,
+    pub(crate) fingerprint: RequestFingerprint,
+    pub(crate) workspace: Option<WorkspaceName>,
+    pub(crate) events: Sender<ControlEvent>,
+}
+
+impl PendingSelection {
+    /// Waits for the selection; returns `None` if the control thread has ended.
+    pub(crate) async fn receive(
+        &mut self,
+    ) -> Option<Result<(SelectedUpstream, CallGuard), NotRun>> {
+        let selected = self.selection_rx.recv().await.ok()?;
+        Some(selected.map(|selected| {
+            let guard = self.guard(&selected);
+            (selected, guard)
+        }))
+    }
+
+    fn guard(&self, selected: &SelectedUpstream) -> CallGuard {
+        CallGuard {
+            service: self.service.clone(),
+            upstream: selected.upstream.clone(),
+            started: selected.started,
+            fingerprint: self.fingerprint,
+            workspace: self.workspace.clone(),
+            end: CallEnd::Neutral,
+            events: self.events.clone(),
+        }
+    }
+}
+
+impl Drop for PendingSelection {
+    fn drop(&mut self) {
+        // The control thread ends a call whose selection it cannot send any more.
+        self.selection_rx.close();
+        if let Ok(Ok(selected)) = self.selection_rx.try_recv() {
+            drop(self.guard(&selected));
+        }
+    }
+}
--- a/crates/dogwoodshunt_gateway/src/call/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/call/mod.rs
@@ -6,7 +6,7 @@
 
 mod authorization;
 mod fingerprint;
-mod guard;
+pub(crate) mod guard;
 mod model;
 mod plain_service;
 mod quota;
--- a/crates/dogwoodshunt_gateway/src/call/plain_service.rs
+++ b/crates/dogwoodshunt_gateway/src/call/plain_service.rs
@@ -8,6 +8,7 @@
 use crate::call::RoutedCall;
 use crate::call::SendHistory;
 use crate::call::guard::CallGuard;
+use crate::call::guard::PendingSelection;
 use crate::call::record::Stage;
 use crate::call::refusal_response;
 use crate::control::ControlEvent;
@@ -92,7 +93,7 @@
             });
             let selected = selected
                 .and_then(|selected| self.check_time_for_run(routed, history).map(|()| selected));
-            let selected = match selected {
+            let (selected, guard) = match selected {
                 Ok(selected) => selected,
                 Err(not_run) => {
                     return last_failure
@@ -104,7 +105,9 @@
             history.upstream = Some(selected.upstream.clone());
             let may_repeat = history.sent + 1 < routed.route.max_attempts;
             let software = selected.software.clone();
-            let outcome = self.send_once(routed, selected, may_repeat, history).await;
+            let outcome = self
+                .send_once(routed, (selected, guard), may_repeat, history)
+                .await;
             let should_retry = match outcome {
                 SendOutcome::Denied(response) => return last_failure.unwrap_or(*response),
                 SendOutcome::Unreached(_) => {
@@ -177,7 +180,7 @@
         routed: &RoutedCall,
         excluded: &[UpstreamName],
         history: &SendHistory,
-    ) -> Result<SelectedUpstream, NotRun> {
+    ) -> Result<(SelectedUpstream, CallGuard), NotRun> {
         // The control thread ends only with the process.
         let stopping = NotRun::new(NotRunReason::Leaving, REFUSED_RETRY_AFTER);
         let (reply_tx, selection_rx) = async_channel::bounded(1);
@@ -189,8 +192,15 @@
             software: history.software.clone(),
             reply_tx,
         };
+        let mut selection = PendingSelection {
+            selection_rx,
+            service: routed.service.clone(),
+            fingerprint: routed.fingerprint,
+            workspace: routed.caller.workspace().map(|w| w.name.clone()),
+            events: self.events.clone(),
+        };
         self.events.send(event).await.map_err(|_| stopping)?;
-        selection_rx.recv().await.unwrap_or(Err(stopping))
+        selection.receive().await.unwrap_or(Err(stopping))
     }
 
     /// Sends the call to the selected upstream and reports the outcome to the
@@ -198,19 +208,10 @@
     async fn send_once(
         &self,
         routed: &RoutedCall,
-        selected: SelectedUpstream,
+        (selected, mut guard): (SelectedUpstream, CallGuard),
         may_repeat: bool,
         history: &SendHistory,
     ) -> SendOutcome {
-        let mut guard = CallGuard {
-            service: routed.service.clone(),
-            upstream: selected.upstream.clone(),
-            started: selected.started,
-            fingerprint: routed.fingerprint,
-            workspace: routed.caller.workspace().map(|w| w.name.clone()),
-            end: CallEnd::Neutral,
-            events: self.events.clone(),
-        };
         let caller = match self.authorize_send(routed, history).await {
             Ok(caller) => caller,
             Err(response) => return SendOutcome::Denied(Box::new(response)),
--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -460,12 +460,16 @@
             } => {
                 let refusal = self.lost_request_refusal(now, fingerprint);
                 let software = software.as_deref();
-                let select = || {
-                    self.select_within_share(now, service, workspace.as_ref(), &excluded, software)
-                };
+                let asking = workspace.as_ref();
+                let select =
+                    || self.select_within_share(now, service.clone(), asking, &excluded, software);
                 let selected = refusal.map_or_else(select, Err);
-                // The receiver is dropped if the caller has disconnected.
-                let _ = reply_tx.try_send(selected);
+                let upstream = selected.as_ref().ok().map(|s| s.upstream.clone());
+                let is_received = reply_tx.try_send(selected).is_ok();
+                if let Some(upstream) = upstream.filter(|_| !is_received) {
+                    // The caller has disconnected.
+                    self.on_call_ended(now, &service, &upstream, asking, CallEnd::Neutral);
+                }
             }
             ControlEvent::Place {
                 placement_id,
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the control state, without network connections.
 
+mod abandoned_selections;
 mod announcements;
 mod fair_shares;
 mod lost_requests;
