Learn transient slowdowns before engines are partitioned

Change: no slowdown is assumed until 8 prompts have shown one, and engines are partitioned only if the mean of all engines is 1.6 or more.

--- a/crates/dogwoodshunt_costs/src/speed.rs
+++ b/crates/dogwoodshunt_costs/src/speed.rs
@@ -22,13 +22,10 @@
 /// Number of samples from which the median is used.
 const MIN_SAMPLES: usize = 5;
 
-/// Number of samples from which the slowdown to allow for is taken from them. Fewer than 1 in 10 sets
-/// of this size contain no slow sample of an engine that is slow for 15% of the time, and entries
+/// Number of samples from which the slowdown to allow for is taken from them. One in four sets of
+/// this size contains no slow sample of an engine that is slow for 15% of the time, but entries
 /// use the mean over all engines.
-const MIN_MARGIN_SAMPLES: usize = 16;
-
-/// Slowdown to allow for until the samples show the engine's own one.
-const INITIAL_MARGIN: f64 = 2.5;
+const MIN_MARGIN_SAMPLES: usize = 8;
 
 /// Lowest slowdown to allow for: steps with long contexts take somewhat longer.
 const MIN_MARGIN: f64 = 1.25;
@@ -101,10 +98,11 @@
     }
 
     /// Returns the slowdown to allow for in what is started now: that of the slowest of the recent
-    /// samples, without single outliers.
+    /// samples, without single outliers. Until there are enough samples, no transient slowdown is
+    /// assumed.
     pub fn margin(&self) -> f64 {
         if self.samples.len() < MIN_MARGIN_SAMPLES {
-            return INITIAL_MARGIN;
+            return MIN_MARGIN;
         }
         (self.quantile(0.97) / self.ms_per_token()).clamp(MIN_MARGIN, MAX_MARGIN)
     }
--- a/crates/dogwoodshunt_routing/src/partition.rs
+++ b/crates/dogwoodshunt_routing/src/partition.rs
@@ -6,7 +6,8 @@
 //! the long streams, is preferred for these, and the others for long prompts. An engine of the other
 //! part is still chosen if it is cheaper by more than the cost that is added here.
 //!
-//! Every entry learns the proportion from its own requests. Entries agree on the order of the
+//! The partition applies only while the engines have learned transient slowdowns that make gaps too
+//! long. Every entry learns the proportion from its own requests. Entries agree on the order of the
 //! engines, so a different proportion concerns only the engines near the boundary.
 
 use crate::agent::Agent;
@@ -23,8 +24,10 @@
 /// Cost of a long stream on an engine that is preferred for long prompts, in seconds of wait.
 const STREAM_COST_S: f64 = 0.3;
 
-/// Transient slowdown to allow for until the engines have learned their own.
-const INITIAL_SLOWDOWN: f64 = 2.5;
+/// Learned transient slowdown from which the engines are partitioned, which costs adapter loads.
+/// Engines without transient slowdowns learn somewhat more than 1, since the tokens of longer
+/// prompts take longer.
+const MIN_SLOWDOWN: f64 = 1.6;
 
 /// Prefill rate by which the length of a gap is estimated, in tokens per second.
 const PREFILL_TOKENS_PER_S: f64 = 33_000.0;
@@ -95,7 +98,9 @@
             return RequestClass::Neutral;
         };
         let gap_s = (uncached as f64 + EVENT_TOKENS) / PREFILL_TOKENS_PER_S;
-        let slowdown = self.slowdown.unwrap_or(INITIAL_SLOWDOWN);
+        let Some(slowdown) = self.slowdown.filter(|learned| *learned >= MIN_SLOWDOWN) else {
+            return RequestClass::Neutral;
+        };
         if gap_s * slowdown > max_event_gap.as_secs_f64() {
             RequestClass::LongPrompt
         } else if demand.output_tokens >= LONG_STREAM_TOKENS {
@@ -161,7 +166,7 @@
                 (agent.service.as_deref(), hash, key)
             })
             .collect();
-        self.slowdown = (known > 0.0).then(|| margins / known);
+        self.set_slowdown((known > 0.0).then(|| margins / known));
         ordered.sort_unstable();
         for of_service in ordered.chunk_by(|a, b| a.0 == b.0) {
             if of_service.len() < MIN_ENGINES {
@@ -174,6 +179,10 @@
         }
     }
 
+    pub(crate) fn set_slowdown(&mut self, learned: Option<f64>) {
+        self.slowdown = learned;
+    }
+
     /// Returns whether the engine is in the part that is preferred for `class`; `None` if there is
     /// no preference.
     pub fn is_preferred(&self, class: RequestClass, key: AgentKey) -> Option<bool> {
