--- a/crates/dogwoodshunt_routing/src/partition.rs
+++ b/crates/dogwoodshunt_routing/src/partition.rs
@@ -143,7 +143,7 @@
         (MIN_PART..=1.0 - MIN_PART).contains(&part).then_some(part)
     }
 
-    /// Orders the engines anew if their order is older than [`ORDER_LIFETIME`].
+    /// Orders the engines anew if their order is older than a second.
     pub fn update_order<'a>(
         &mut self,
         now: Instant,
--- a/crates/dogwoodshunt_routing/src/tests/partition.rs
+++ b/crates/dogwoodshunt_routing/src/tests/partition.rs
@@ -153,6 +153,11 @@
     assert_eq!(preferred(&first), preferred(&second));
 }
 
+fn partition_of(now: Instant, prompts: usize, streams: usize) -> f64 {
+    let partition = partition(now, prompts, streams);
+    partition.stream_part().expect("both kinds")
+}
+
 /// Guards against a proportion that stays after the load has changed.
 #[test]
 fn proportion_follows_a_change_of_the_load() {
@@ -164,5 +169,9 @@
         partition.record(later, RequestClass::LongStream, &demand(826, 290), 826);
     }
     let after = partition.stream_part().expect("both kinds");
-    assert!(after > before, "{before} {after}");
+    let without_decay = partition_of(now, 80, 100);
+    assert!(
+        after > without_decay + 0.1,
+        "{before} {after} {without_decay}"
+    );
 }
