Grant half of a quota's burst evenly over its window

Cause: the quota bounds each window of 8 s by rate x 8 s + burst. A token bucket with this rate and burst grants the burst once; lasting demand then gets rate x 8 s in each window.

Change: with the setting quota_window_s, filled in from the platform's bound, ledgers are told rate + burst / 16 and half of the burst, which grants the same in a window.

Tested: quotas and gateway pass.

--- a/crates/dogwoodshunt_gateway/src/control/mod.rs
+++ b/crates/dogwoodshunt_gateway/src/control/mod.rs
@@ -50,6 +50,7 @@
 use async_channel::Sender;
 use dogwoodshunt_border::kv::KeyChange;
 use dogwoodshunt_border::kv::Listing;
+use dogwoodshunt_quotas::QuotaAllowance;
 use dogwoodshunt_routing::AgentKey;
 use dogwoodshunt_routing::Router;
 use dogwoodshunt_runtime::link::Credentials;
@@ -297,8 +298,8 @@
     pub retry_slack: f64,
     /// Interval between heartbeats to agents.
     pub heartbeat_interval: Duration,
-    /// Cost that a workspace may spend at once beyond its burst.
-    pub quota_tolerance: u64,
+    /// How the limits that ledgers are told differ from a quota.
+    pub quota_allowance: QuotaAllowance,
 }
 
 /// Control state of an entry; `D` decodes the records of the platform's store.
@@ -350,7 +351,7 @@
         router: Router,
         now: Instant,
     ) -> Self {
-        let quota_tolerance = settings.quota_tolerance;
+        let quota_allowance = settings.quota_allowance;
         let entries = Entries::default();
         let retry_budgets =
             RetryBudgets::new(settings.retry_ratio, settings.retry_slack, entries.count());
@@ -375,7 +376,7 @@
             store_era: 0,
             config_era: 0,
             entries,
-            quotas: QuotaState::new(now, quota_tolerance),
+            quotas: QuotaState::new(now, quota_allowance),
             retry_budgets,
             pending: HashMap::new(),
             granted_runs: HashMap::new(),
--- a/crates/dogwoodshunt_gateway/src/control/quotas.rs
+++ b/crates/dogwoodshunt_gateway/src/control/quotas.rs
@@ -7,6 +7,7 @@
 use crate::platform::RecordDecoder;
 use async_channel::Sender;
 use dogwoodshunt_quotas::EntryQuotas;
+use dogwoodshunt_quotas::QuotaAllowance;
 use dogwoodshunt_quotas::QuotaGrant;
 use dogwoodshunt_quotas::QuotaLimits;
 use dogwoodshunt_quotas::entry::LedgerChange;
@@ -51,8 +52,8 @@
 /// Quotas of all workspaces.
 pub(super) struct QuotaState {
     quotas: EntryQuotas<AgentKey, Ticket>,
-    /// Cost that a workspace may spend at once beyond its burst.
-    tolerance: u64,
+    /// How the limits that ledgers are told differ from a quota.
+    allowance: QuotaAllowance,
     /// Limits of a configuration that have not been applied yet.
     new_limits: Option<Vec<(WorkspaceName, QuotaLimits)>>,
     due: Instant,
@@ -64,10 +65,10 @@
 }
 
 impl QuotaState {
-    pub(super) fn new(now: Instant, tolerance: u64) -> Self {
+    pub(super) fn new(now: Instant, allowance: QuotaAllowance) -> Self {
         Self {
             quotas: EntryQuotas::default(),
-            tolerance,
+            allowance,
             new_limits: None,
             due: now,
             is_choice_due: false,
@@ -81,8 +82,8 @@
     pub(super) fn set_config(&mut self, config: &Config) {
         let workspaces = config.workspaces.iter().flatten();
         let limits = workspaces.filter_map(|workspace| {
-            let mut limits = QuotaLimits::new(workspace.quota.as_ref()?, config.revision);
-            limits.burst = limits.burst.saturating_add(self.tolerance);
+            let limits = QuotaLimits::new(workspace.quota.as_ref()?, config.revision);
+            let limits = self.allowance.apply(limits);
             Some((workspace.name.clone(), limits))
         });
         self.new_limits = Some(limits.collect());
--- a/crates/dogwoodshunt_gateway/src/gateway.rs
+++ b/crates/dogwoodshunt_gateway/src/gateway.rs
@@ -241,7 +241,7 @@
             retry_ratio: settings.retry_ratio(),
             retry_slack: settings.retries.slack,
             heartbeat_interval: Duration::from_millis(settings.heartbeat_ms),
-            quota_tolerance: settings.quota_tolerance(),
+            quota_allowance: settings.quota_allowance(),
         };
         let router = Router::new(settings.router_settings(identity.boot));
         let context = ControlContext {
--- a/crates/dogwoodshunt_gateway/src/settings.rs
+++ b/crates/dogwoodshunt_gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry, with their defaults and valid ranges.
 
+use dogwoodshunt_quotas::QuotaAllowance;
 use dogwoodshunt_routing::RouterSettings;
 use dogwoodshunt_runtime::limits::LimitSettings;
 use dogwoodshunt_runtime::program::ProgramSettings;
@@ -50,6 +51,10 @@
     /// at once are not refused; the rest covers what entries spend without knowing of each other.
     #[serde(default)]
     pub quota_slack: u64,
+    /// Window over which the platform counts the requests of a workspace, in seconds; 0 if it
+    /// is not known. Half of the burst of a quota is then granted evenly over the window.
+    #[serde(default)]
+    pub quota_window_s: u64,
     /// Weights and limits for the placement of model requests on engines.
     #[serde(default)]
     pub placing: PlacementSettings,
@@ -228,9 +233,12 @@
         self.change_limits.watch_timeout().min(longest)
     }
 
-    /// Returns the cost that a workspace may spend at once beyond its burst.
-    pub fn quota_tolerance(&self) -> u64 {
-        self.quota_slack / 2
+    /// Returns how the limits that ledgers are told differ from a quota.
+    pub fn quota_allowance(&self) -> QuotaAllowance {
+        QuotaAllowance {
+            slack: self.quota_slack / 2,
+            window_s: self.quota_window_s,
+        }
     }
 
     /// Returns the time from SIGTERM until the platform kills the process.
@@ -261,6 +269,7 @@
             100,
             60_000,
         )?;
+        validate_range("quota_window_s", self.quota_window_s, 0, 3_600)?;
         if let Some(revocation_ms) = self.revocation_ms {
             validate_range("revocation_ms", revocation_ms, 1_000, 600_000)?;
         }
--- a/crates/dogwoodshunt_gateway/src/tests.rs
+++ b/crates/dogwoodshunt_gateway/src/tests.rs
@@ -41,6 +41,7 @@
 use dogwoodshunt_border::kv::Listing;
 use dogwoodshunt_border::kv::Record;
 use dogwoodshunt_border::kv::StorePosition;
+use dogwoodshunt_quotas::QuotaAllowance;
 use dogwoodshunt_residency::Demand;
 use dogwoodshunt_residency::Report;
 use dogwoodshunt_residency::Target;
@@ -210,7 +211,10 @@
             retry_ratio: 0.0,
             retry_slack: 10.0,
             heartbeat_interval: Duration::from_millis(100),
-            quota_tolerance: 50,
+            quota_allowance: QuotaAllowance {
+                slack: 50,
+                window_s: 0,
+            },
         };
         let now = Instant::now();
         let router = Router::new(RouterSettings::builder().batch_weight(0.0).build());
--- a/crates/dogwoodshunt_quotas/src/lib.rs
+++ b/crates/dogwoodshunt_quotas/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub use crate::entry::EntryQuotas;
 pub use crate::ledger::Ledger;
+pub use crate::messages::QuotaAllowance;
 pub use crate::messages::QuotaGrant;
 pub use crate::messages::QuotaLimits;
 pub use crate::messages::QuotaRequest;
--- a/crates/dogwoodshunt_quotas/src/messages.rs
+++ b/crates/dogwoodshunt_quotas/src/messages.rs
@@ -33,6 +33,40 @@
     }
 }
 
+/// How the limits that ledgers are told differ from a quota.
+///
+/// A quota bounds the cost in each window by rate x window + burst. A bucket with this rate and burst
+/// lets a workspace whose demand lasts spend only rate x window in each window but the first, and
+/// refuses requests that the quota allows. So half of the burst is granted evenly over the window,
+/// and the other half at once. Part of the slack that the platform allows is added to the burst.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct QuotaAllowance {
+    /// Cost that a workspace may spend at once beyond its burst.
+    pub slack: u64,
+    /// Window over which the cost is bounded, in seconds; 0 if it is not known.
+    pub window_s: u64,
+}
+
+impl QuotaAllowance {
+    /// Returns the limits of the bucket that grants a quota with `limits`. In a window, the bucket
+    /// grants at most what the quota allows, and the slack.
+    pub fn apply(&self, limits: QuotaLimits) -> QuotaLimits {
+        let spread = limits.burst / 2;
+        let (rate, burst) = match spread.checked_div(self.window_s) {
+            Some(per_second) => (
+                limits.rate.saturating_add(per_second),
+                limits.burst - spread,
+            ),
+            None => (limits.rate, limits.burst),
+        };
+        QuotaLimits {
+            rate,
+            burst: burst.saturating_add(self.slack),
+            revision: limits.revision,
+        }
+    }
+}
+
 /// From an entry to a ledger: renews the registrations of the entry for all workspaces that it has
 /// registered on the connection, and asks for tokens of some of them.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/dogwoodshunt_quotas/src/tests.rs
+++ b/crates/dogwoodshunt_quotas/src/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the ledger, of the entry's side, and of both together in virtual time.
 
+mod allowance;
 mod entry;
 mod fleet;
 mod ledger;
