Show that a removed runner gets requests after drain_ms

Cause: a removed upstream is kept until 2 s after the entry's own next answer of the store, which can come when the machine is long in touch again; a watch that times out on a silent connection counts as an outage of the store.

--- /dev/null
+++ b/review/standin-2/src/system.rs
@@ -0,0 +1,123 @@
+//! The project's own programs as separate processes, with settings of a small deployment.
+
+use crate::record::Record;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// Why a case could not run.
+pub type Problem = Box<dyn std::error::Error>;
+
+pub struct Entry {
+    pub callers: SocketAddr,
+    ready: SocketAddr,
+    child: Child,
+}
+
+/// Returns a free address of 127.0.0.1.
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
+    listener.local_addr().expect("address")
+}
+
+impl Entry {
+    /// Starts an entry with the command of the deploy file. The settings are those of
+    /// `deploy/entry.json` with the figures of the site inyange-orders.
+    pub fn start(root: &Path, folder: &Path, store: SocketAddr) -> Result<Self, Problem> {
+        let (callers, ready, metrics) = (free_address(), free_address(), free_address());
+        let settings = format!(
+            r#"{{
+  "node": {{ "name": "edge-kicukiro-1", "failure_domain": "kicukiro", "region": "kigali" }},
+  "listen_callers": "{callers}",
+  "listen_ready": "{ready}",
+  "listen_metrics": "{metrics}",
+  "key_value_service": "{store}",
+  "agent_port": 7380,
+  "shared_key": "dogwoodshunt on the platform",
+  "limits": {{ "memory_mb": 260, "descriptors": 4100 }},
+  "grace_ms": 8000,
+  "change_limits": {{ "config_ms": 2000, "departure_ms": 2000 }},
+  "placing": {{ "learned_costs": true }},
+  "quota_slack": 0,
+  "quota_window_s": 0,
+  "retries": {{ "ratio": 0.2, "slack": 54 }}
+}}
+"#
+        );
+        let path = folder.join("entry.json");
+        std::fs::write(&path, settings)?;
+        let log = std::fs::File::create(folder.join("entry.log"))?;
+        let run = command_of(root, "entry")?;
+        let child = Command::new(root.join(&run[0]))
+            .args(&run[1..])
+            .current_dir(root)
+            .env("DOGWOODSHUNT_CONFIG", &path)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self {
+            callers,
+            ready,
+            child,
+        })
+    }
+
+    /// Waits until the entry says that it is ready.
+    pub fn wait_until_ready(&self, record: &Record) -> Result<(), Problem> {
+        for _ in 0..200 {
+            if is_ready(self.ready).unwrap_or(false) {
+                record.add("the entry is ready");
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        Err("the entry is not ready after 10 s".into())
+    }
+
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn is_ready(address: SocketAddr) -> std::io::Result<bool> {
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(200))?;
+    stream.set_read_timeout(Some(Duration::from_millis(500)))?;
+    stream.write_all(
+        b"GET /dogwoodshunt/ready HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\r\n",
+    )?;
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer)?;
+    Ok(&answer == b"HTTP/1.1 200")
+}
+
+/// Returns the words of `run` of a role in the deploy file.
+fn command_of(root: &Path, role: &str) -> Result<Vec<String>, Problem> {
+    let text = std::fs::read_to_string(root.join("deploy/system.toml"))?;
+    let section = text.split(&format!("[roles.{role}]")).nth(1);
+    let section = section.ok_or("the deploy file has no such role")?;
+    let line = section
+        .lines()
+        .find_map(|line| line.strip_prefix("run = \""));
+    let line = line.ok_or("the role has no command")?;
+    let words = line.trim_end_matches('"').split(' ');
+    Ok(words.map(str::to_owned).collect())
+}
+
+/// Creates a temporary folder of the case.
+pub fn temporary_folder() -> Result<PathBuf, Problem> {
+    let name = format!("review-standin-2-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder)?;
+    Ok(folder)
+}
