Show that a large configuration is never read again over a slow link

The listing is due after 20 s without a change of the configuration, since the watch of the operators' records then gets 410, and at each start.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$here/../.." || exit 2
 program=target/review-2/release/review-standin-2
 [ -x "$program" ] || { echo "review/build-2.sh has not been run"; exit 2; }
-exec "$program" removed "$here"
+exec "$program" history "$here"
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -5,7 +5,9 @@
 
 mod client;
 mod departure;
+mod history;
 mod http;
+mod link;
 mod outage;
 mod proxy;
 mod record;
@@ -46,6 +48,7 @@
     match case {
         "removed" => departure::play(root, folder, record, trouble, departure(false, 3_050, 500)),
         "draining" => departure::play(root, folder, record, trouble, departure(true, 0, 1_400)),
+        "history" => history::play(root, folder, record, trouble),
         "outage" => outage::play(root, folder, record, trouble),
         _ => Err("no such case".into()),
     }
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::http;
 use crate::record::Record;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
@@ -19,21 +19,52 @@
     revision: u64,
     items: BTreeMap<String, Item>,
     /// Revision, key and, unless it was deleted, the value of each change.
-    log: Vec<(u64, String, Option<String>)>,
+    log: VecDeque<(u64, String, Option<String>)>,
+    /// When each change of the log was made.
+    times: VecDeque<Instant>,
+    /// Revision up to which the changes are no longer available.
+    dropped: u64,
+}
+
+impl State {
+    fn record(&mut self, key: &str, value: Option<String>) {
+        self.log.push_back((self.revision, key.to_owned(), value));
+        self.times.push_back(Instant::now());
+    }
+
+    /// Drops the changes that are older than the history.
+    fn drop_old(&mut self, history: Option<Duration>) {
+        let Some(history) = history else {
+            return;
+        };
+        while self.times.front().is_some_and(|at| at.elapsed() > history) {
+            self.times.pop_front();
+            if let Some((revision, _, _)) = self.log.pop_front() {
+                self.dropped = revision;
+            }
+        }
+    }
 }
 
 pub struct Store {
     pub address: SocketAddr,
+    /// How long changes stay available; for ever if absent.
+    history: Option<Duration>,
     state: Mutex<State>,
     changed: Condvar,
 }
 
 impl Store {
     pub fn start(record: &Record) -> Arc<Self> {
+        Self::start_with(record, None)
+    }
+
+    pub fn start_with(record: &Record, history: Option<Duration>) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
         let address = listener.local_addr().expect("address");
         let store = Arc::new(Self {
             address,
+            history,
             state: Mutex::new(State {
                 revision: 10,
                 ..State::default()
@@ -66,7 +97,7 @@
             created,
         };
         state.items.insert(key.to_owned(), item);
-        state.log.push((revision, key.to_owned(), Some(value)));
+        state.record(key, Some(value));
         drop(state);
         self.changed.notify_all();
         revision
@@ -77,7 +108,7 @@
         state.revision += 1;
         let revision = state.revision;
         state.items.remove(key);
-        state.log.push((revision, key.to_owned(), None));
+        state.record(key, None);
         drop(state);
         self.changed.notify_all();
         revision
@@ -122,13 +153,13 @@
                     None => ("404 Not Found", "{}".to_owned()),
                 }
             }
-            "/dogwoodshunt/kv-watch" => ("200 OK", self.watch(request)),
+            "/dogwoodshunt/kv-watch" => self.watch(request),
             _ => ("400 Bad Request", "{}".to_owned()),
         }
     }
 
     /// Waits for changes under a prefix as long as the caller asks for.
-    fn watch(&self, request: &http::Message) -> String {
+    fn watch(&self, request: &http::Message) -> (&'static str, String) {
         let number = |name| request.query(name).and_then(|text| text.parse().ok());
         let prefix = request.query("prefix").unwrap_or_default();
         let after: u64 = number("after").unwrap_or(0);
@@ -136,16 +167,21 @@
         let until = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut state = self.state.lock().unwrap();
         loop {
+            state.drop_old(self.history);
+            if after < state.dropped {
+                return ("410 Gone", "{}".to_owned());
+            }
             let log = state.log.iter();
             let log = log.filter(|(at, key, _)| *at > after && key.starts_with(&prefix));
             let events: Vec<String> = log.map(event_json).collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
-                return format!(
+                let body = format!(
                     r#"{{"events":[{}],"current_rev":{}}}"#,
                     events.join(","),
                     state.revision
                 );
+                return ("200 OK", body);
             }
             state = self.changed.wait_timeout(state, left).unwrap().0;
         }
--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -13,9 +13,46 @@
 pub struct Entry {
     pub callers: SocketAddr,
     ready: SocketAddr,
+    folder: PathBuf,
     child: Child,
 }
 
+/// What the settings of an entry say of its machine and its site.
+pub struct Machine {
+    node: &'static str,
+    zone: &'static str,
+    region: &'static str,
+    memory_mb: u64,
+    descriptors: u64,
+    config_ms: u64,
+    departure_ms: u64,
+    retry_slack: u64,
+}
+
+/// A machine of class `edge` of the site inyange-orders.
+const EDGE: Machine = Machine {
+    node: "edge-kicukiro-1",
+    zone: "kicukiro",
+    region: "kigali",
+    memory_mb: 260,
+    descriptors: 4_100,
+    config_ms: 2_000,
+    departure_ms: 2_000,
+    retry_slack: 54,
+};
+
+/// One of the smaller machines of class `edge` of the site swl-acquiring-grown.
+pub const SMALL_EDGE: Machine = Machine {
+    node: "edge-lan-b-10",
+    zone: "lan-b",
+    region: "bayern",
+    memory_mb: 112,
+    descriptors: 2_870,
+    config_ms: 3_000,
+    departure_ms: 3_000,
+    retry_slack: 149,
+};
+
 /// Returns a free address of 127.0.0.1.
 pub fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
@@ -23,52 +60,75 @@
 }
 
 impl Entry {
-    /// Starts an entry with the command of the deploy file. The settings are those of
-    /// `deploy/entry.json` with the figures of the site inyange-orders.
+    /// Starts an entry with the figures of the site inyange-orders.
     pub fn start(root: &Path, folder: &Path, store: SocketAddr) -> Result<Self, Problem> {
+        Self::start_with(root, folder, store, &EDGE)
+    }
+
+    /// Starts an entry with the command of the deploy file. The settings are those of
+    /// `deploy/entry.json` with the figures of a machine and its site.
+    pub fn start_with(
+        root: &Path,
+        folder: &Path,
+        store: SocketAddr,
+        machine: &Machine,
+    ) -> Result<Self, Problem> {
+        let Machine {
+            node,
+            zone,
+            region,
+            memory_mb,
+            descriptors,
+            config_ms,
+            departure_ms,
+            retry_slack,
+        } = machine;
         let (callers, ready, metrics) = (free_address(), free_address(), free_address());
         let settings = format!(
             r#"{{
-  "node": {{ "name": "edge-kicukiro-1", "failure_domain": "kicukiro", "region": "kigali" }},
+  "node": {{ "name": "{node}", "failure_domain": "{zone}", "region": "{region}" }},
   "listen_callers": "{callers}",
   "listen_ready": "{ready}",
   "listen_metrics": "{metrics}",
   "key_value_service": "{store}",
   "agent_port": 7380,
   "shared_key": "dogwoodshunt on the platform",
-  "limits": {{ "memory_mb": 260, "descriptors": 4100 }},
+  "limits": {{ "memory_mb": {memory_mb}, "descriptors": {descriptors} }},
   "grace_ms": 8000,
-  "change_limits": {{ "config_ms": 2000, "departure_ms": 2000 }},
+  "change_limits": {{ "config_ms": {config_ms}, "departure_ms": {departure_ms} }},
   "placing": {{ "learned_costs": true }},
   "quota_slack": 0,
   "quota_window_s": 0,
-  "retries": {{ "ratio": 0.2, "slack": 54 }}
+  "retries": {{ "ratio": 0.2, "slack": {retry_slack} }}
 }}
 "#
         );
-        let path = folder.join("entry.json");
-        std::fs::write(&path, settings)?;
-        let log = std::fs::File::create(folder.join("entry.log"))?;
-        let run = command_of(root, "entry")?;
-        let child = Command::new(root.join(&run[0]))
-            .args(&run[1..])
-            .current_dir(root)
-            .env("DOGWOODSHUNT_CONFIG", &path)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        std::fs::write(folder.join("entry.json"), settings)?;
         Ok(Self {
             callers,
             ready,
-            child,
+            folder: folder.to_owned(),
+            child: spawn(root, folder)?,
         })
     }
 
+    /// Kills the process and starts it again with the same settings.
+    pub fn restart(&mut self, root: &Path) -> Result<(), Problem> {
+        self.child.kill()?;
+        self.child.wait()?;
+        self.child = spawn(root, &self.folder)?;
+        Ok(())
+    }
+
+    /// Returns whether the entry says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        is_ready(self.ready).unwrap_or(false)
+    }
+
     /// Waits until the entry says that it is ready.
     pub fn wait_until_ready(&self, record: &Record) -> Result<(), Problem> {
         for _ in 0..200 {
-            if is_ready(self.ready).unwrap_or(false) {
+            if self.is_ready() {
                 record.add("the entry is ready");
                 return Ok(());
             }
@@ -90,6 +150,25 @@
     }
 }
 
+/// Starts the entry whose settings are in `folder`.
+fn spawn(root: &Path, folder: &Path) -> Result<Child, Problem> {
+    let mut options = std::fs::File::options();
+    let log = options
+        .create(true)
+        .append(true)
+        .open(folder.join("entry.log"))?;
+    let run = command_of(root, "entry")?;
+    let child = Command::new(root.join(&run[0]))
+        .args(&run[1..])
+        .current_dir(root)
+        .env("DOGWOODSHUNT_CONFIG", folder.join("entry.json"))
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()?;
+    Ok(child)
+}
+
 fn is_ready(address: SocketAddr) -> std::io::Result<bool> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(200))?;
     stream.set_read_timeout(Some(Duration::from_millis(500)))?;
