Take the ports of the entry in the review's scripts from a range of their own

Cause: of 24 plays on a clean clone, twelve side by side, one (case 6 with TROUBLE=0) exited with 2, as the entry wasn't ready. Its log was gone; supposed is that another script got the port that was free a moment before.

Change: the ports lie below those that the system gives, apart for each script.

--- a/review/standin-2/src/system.rs
+++ b/review/standin-2/src/system.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// Why a case could not run.
@@ -53,10 +54,18 @@
     retry_slack: 149,
 };
 
-/// Returns a free address of 127.0.0.1.
+/// Returns a free address of 127.0.0.1, with a port that the system gives to nobody by itself and that
+/// no other case beside this one tries first.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
-    listener.local_addr().expect("address")
+    static TRIED: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        let offset = (std::process::id().wrapping_mul(16) + tried) % 12_000;
+        let port = u16::try_from(20_000 + offset).unwrap_or(20_000);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("address");
+        }
+    }
 }
 
 impl Entry {
